--- /dev/null
+++ b/src/bookkeeping/records.ts
@@ -0,0 +1,106 @@
+import { asArray, asObject, Malformed, readAmount, readString, readWhole, type Whole } from "../protocol/json.js";
+import type { JobSpec } from "../protocol/user.js";
+
+/**
+ * Keys. All that is still going on lies below `c/`, so that a start-up list and the watch do not grow with the
+ * jobs that ever ended; those have their last word below `e/`, one key a job, for ever.
+ */
+export const CURRENT = "c/";
+export const LEADER_KEY = "c/leader";
+export const NUMBER_KEY = "c/number";
+export const TYPES_KEY = "c/types";
+export const memberKey = (label: string): string => `c/member/${label}`;
+export const blockKey = (block: number): string => `c/block/${block}`;
+export const jobKey = (id: string): string => `c/job/${id}`;
+export const rangeKey = (id: string, range: number): string => `c/range/${id}/${range}`;
+export const endKey = (id: string): string => `e/${id}`;
+
+const after = (prefix: string, key: string): string | null =>
+  key.startsWith(prefix) ? key.slice(prefix.length) : null;
+export const jobOfKey = (key: string): string | null => after("c/job/", key);
+export const memberOfKey = (key: string): string | null => after("c/member/", key);
+export const rangeOfKey = (key: string): { id: string; range: number } | null => {
+  const rest = after("c/range/", key);
+  if (rest === null) return null;
+  const slash = rest.lastIndexOf("/");
+  return { id: rest.slice(0, slash), range: Number(rest.slice(slash + 1)) };
+};
+
+export interface MemberRecord {
+  readonly lease: Whole;
+  readonly incarnation: string;
+}
+
+export interface BlockRecord {
+  readonly label: string;
+  readonly incarnation: string;
+  readonly number: number;
+}
+
+export interface JobRecord {
+  readonly spec: JobSpec;
+  readonly block: number;
+  readonly cancelled: boolean;
+}
+
+export interface EndRecord {
+  readonly phase: "done" | "cancelled";
+  readonly done: number;
+}
+
+/** What is durable of one task. `attempt` is the last one used; a machine means that it may be there. */
+export type TaskRecord =
+  | { readonly kind: "waiting"; readonly attempt: number }
+  | { readonly kind: "placed"; readonly attempt: number; readonly machine: string }
+  | { readonly kind: "done" };
+
+const writeTask = (task: TaskRecord): unknown => {
+  switch (task.kind) {
+    case "waiting":
+      return task.attempt;
+    case "placed":
+      return [task.attempt, task.machine];
+    case "done":
+      return -1;
+  }
+};
+
+export const writeRange = (tasks: readonly TaskRecord[]): unknown => ({ t: tasks.map(writeTask) });
+
+export const readRange = (value: unknown): readonly TaskRecord[] =>
+  asArray(asObject(value, "range").t, "t").map((entry): TaskRecord => {
+    if (entry === -1) return { kind: "done" };
+    if (typeof entry === "number") return { kind: "waiting", attempt: entry };
+    const [attempt, machine] = asArray(entry, "task");
+    if (typeof attempt !== "number" || typeof machine !== "string") throw new Malformed("task record");
+    return { kind: "placed", attempt, machine };
+  });
+
+// Written by this program alone and never edited elsewhere, so its inner shape is taken as it is.
+export const readJob = (value: unknown): JobRecord => {
+  const fields = asObject(value, "job record");
+  return {
+    spec: asObject(fields.spec, "spec") as unknown as JobSpec,
+    block: readAmount(fields, "block"),
+    cancelled: fields.cancelled === true,
+  };
+};
+
+export const readMember = (value: unknown): MemberRecord => {
+  const fields = asObject(value, "member");
+  return { lease: readWhole(fields, "lease"), incarnation: readString(fields, "incarnation") };
+};
+
+export const readBlock = (value: unknown): BlockRecord => {
+  const fields = asObject(value, "block");
+  return {
+    label: readString(fields, "label"),
+    incarnation: readString(fields, "incarnation"),
+    number: readAmount(fields, "number"),
+  };
+};
+
+export const readEnd = (value: unknown): EndRecord => {
+  const fields = asObject(value, "end");
+  return { phase: readString(fields, "phase") === "done" ? "done" : "cancelled", done: readAmount(fields, "done") };
+};
--- /dev/null
+++ b/src/bookkeeping/store.ts
@@ -0,0 +1,143 @@
+import { formatJson, Malformed, parseJson, type Whole } from "../protocol/json.js";
+import {
+  type Change,
+  type Entry,
+  readChanges,
+  readEntries,
+  readEntry,
+  readFailed,
+  readLease,
+  readRevision,
+  transactionRequest,
+  type Write,
+} from "../protocol/state.js";
+import { type Clock, type Micros, ms, sleep } from "../transport/clock.js";
+import type { HttpClient, Outcome } from "../transport/http.js";
+import type { Log } from "../transport/log.js";
+import { RateLimit } from "../transport/rate-limit.js";
+
+/** `refused`: surely not executed. `lost`: may have been, or may yet be. `missing`: no such key or lease. */
+export type Reply<T> = { readonly kind: "ok"; readonly value: T } | { readonly kind: "refused" | "lost" | "missing" };
+
+export type Committed =
+  | { readonly kind: "ok"; readonly version: Whole }
+  | { readonly kind: "conflict"; readonly keys: readonly string[] }
+  | { readonly kind: "refused" | "lost" };
+
+export interface StoreBudget {
+  readonly requestsPerS: number;
+  readonly writesPerS: number;
+  readonly writesPerTransaction: number;
+}
+
+const TIMEOUT = ms(2_000);
+
+/** Client of the state service. Tells apart what was not executed from what may have been. */
+export class Store {
+  private readonly requests: RateLimit;
+
+  constructor(
+    private readonly http: HttpClient,
+    private readonly address: string,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    readonly budget: StoreBudget,
+    private readonly random: () => number,
+  ) {
+    this.requests = new RateLimit(clock, budget.requestsPerS);
+  }
+
+  async get(key: string): Promise<Reply<Entry>> {
+    await this.pace();
+    return this.read(await this.call("GET", `/kv/${key}`, null), readEntry);
+  }
+
+  /** Every entry below the prefix, and a revision from which a watch misses nothing. */
+  async list(prefix: string): Promise<Reply<{ entries: readonly Entry[]; revision: Whole }>> {
+    const entries: Entry[] = [];
+    let revision: Whole | null = null;
+    for (let from = ""; ; ) {
+      await this.pace();
+      const query = `/kv?under=${prefix}${from === "" ? "" : `&from=${from}`}&page=500`;
+      const page = this.read(await this.call("GET", query, null), readEntries);
+      if (page.kind !== "ok") return page;
+      // The first page's: later pages may already show changes that a watch from here then repeats.
+      revision ??= page.value.revision;
+      entries.push(...page.value.entries);
+      const last = page.value.entries.at(-1);
+      if (!page.value.more || last === undefined) return { kind: "ok", value: { entries, revision } };
+      from = last.key;
+    }
+  }
+
+  async commit(conditions: ReadonlyMap<string, Whole>, writes: readonly Write[]): Promise<Committed> {
+    this.requests.take(1);
+    const outcome = await this.call("POST", "/txn", transactionRequest(conditions, writes));
+    if (outcome.kind === "answer" && outcome.status === 409) {
+      const failed = this.read({ ...outcome, status: 200 }, readFailed);
+      return failed.kind === "ok" ? { kind: "conflict", keys: failed.value } : { kind: "lost" };
+    }
+    if (outcome.kind === "answer" && outcome.status === 400) {
+      this.log.error("transaction refused as malformed", { body: outcome.body.slice(0, 200) });
+      return { kind: "refused" };
+    }
+    const reply = this.read(outcome, readRevision);
+    if (reply.kind === "ok") return { kind: "ok", version: reply.value };
+    return { kind: reply.kind === "missing" ? "refused" : reply.kind };
+  }
+
+  async grant(ttl: Micros): Promise<Reply<Whole>> {
+    await this.pace();
+    return this.read(await this.call("POST", "/grants", { ttlMs: Math.floor(ttl / 1_000) }), readLease);
+  }
+
+  /** Not paced by the budget: a renewal kept waiting costs more than a request too many. */
+  async touch(lease: Whole): Promise<Reply<true>> {
+    this.requests.take(1);
+    return this.read(await this.call("POST", `/grants/${lease}/touch`, {}), () => true as const);
+  }
+
+  async end(lease: Whole): Promise<Reply<true>> {
+    await this.pace();
+    return this.read(await this.call("DELETE", `/grants/${lease}`, null), () => true as const);
+  }
+
+  /** `missing` when `from` is too old. */
+  async watch(
+    prefix: string,
+    from: Whole,
+    wait: Micros,
+  ): Promise<Reply<{ changes: readonly Change[]; revision: Whole }>> {
+    await this.pace();
+    const query = `/watch?under=${prefix}&from=${from}&waitMs=${Math.floor(wait / 1_000)}`;
+    const outcome = await this.call("GET", query, null, (wait + TIMEOUT) as Micros);
+    if (outcome.kind === "answer" && outcome.status === 410) return { kind: "missing" };
+    return this.read(outcome, readChanges);
+  }
+
+  private async pace(): Promise<void> {
+    for (let wait = this.requests.waitFor(1); wait > 0; wait = this.requests.waitFor(1)) await sleep(this.clock, wait);
+    this.requests.take(1);
+  }
+
+  private async call(method: string, target: string, body: unknown, timeout = TIMEOUT): Promise<Outcome> {
+    const text = body === null ? "" : formatJson(body);
+    const outcome = await this.http.call(this.address, { method, target, body: text }, timeout);
+    if (outcome.kind === "answer" && outcome.status === 429) this.requests.pause(ms(50 + 150 * this.random()));
+    return outcome;
+  }
+
+  private read<T>(outcome: Outcome, parse: (body: unknown) => T): Reply<T> {
+    if (outcome.kind === "unsent") return { kind: "refused" };
+    if (outcome.kind === "lost") return { kind: "lost" };
+    if (outcome.status === 404) return { kind: "missing" };
+    if (outcome.status === 429 || outcome.status === 503) return { kind: "refused" };
+    try {
+      if (outcome.status !== 200) throw new Malformed(`status ${outcome.status}`);
+      return { kind: "ok", value: parse(parseJson(outcome.body)) };
+    } catch (error) {
+      this.log.error("malformed answer of the state service", { error: String(error) });
+      return { kind: "lost" };
+    }
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/view.ts
@@ -0,0 +1,113 @@
+import type { Whole } from "../protocol/json.js";
+import type { Change, Entry } from "../protocol/state.js";
+import { type Clock, type Micros, ms, sleep } from "../transport/clock.js";
+import type { Log } from "../transport/log.js";
+import type { Store } from "./store.js";
+
+/** Short, so that an idle watch still proves every second or so that nothing has been missed. */
+const WAIT = ms(1_000);
+const MIN_GAP = ms(15);
+
+/** This process's copy of all that is current below one prefix, fed by a watch. */
+export class View {
+  readonly entries = new Map<string, Entry>();
+  private revision: Whole | null = null;
+  private readonly listeners: ((change: Change) => void)[] = [];
+  private running: Promise<boolean> | null = null;
+  private queued: Promise<boolean> | null = null;
+  /** Everything changed up to this moment is known here. */
+  freshAt: Micros | null = null;
+
+  constructor(
+    private readonly store: Store,
+    private readonly prefix: string,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  get loaded(): boolean {
+    return this.revision !== null;
+  }
+
+  onChange(listener: (change: Change) => void): void {
+    this.listeners.push(listener);
+  }
+
+  async follow(): Promise<never> {
+    for (;;) {
+      const sent = this.clock.now();
+      if (this.revision === null) await this.load();
+      else {
+        const good = await this.catchUp(this.revision, WAIT);
+        if (!good) await sleep(this.clock, ms(150));
+      }
+      const gap = sent + MIN_GAP - this.clock.now();
+      if (gap > 0) await sleep(this.clock, gap as Micros);
+    }
+  }
+
+  /**
+   * Resolves to true once the view holds all that was decided before the call. Calls made meanwhile share
+   * the next request; the one under way may have been sent too early for them.
+   */
+  sync(): Promise<boolean> {
+    if (this.queued !== null) return this.queued;
+    const before = this.running ?? Promise.resolve(true);
+    const next = before
+      .then(() => {
+        this.queued = null;
+        this.running = next;
+        return this.revision === null ? false : this.catchUp(this.revision, 0 as Micros);
+      })
+      .finally(() => {
+        if (this.running === next) this.running = null;
+      });
+    this.queued = next;
+    return next;
+  }
+
+  private async load(): Promise<void> {
+    const sent = this.clock.now();
+    const reply = await this.store.list(this.prefix);
+    if (reply.kind !== "ok") {
+      await sleep(this.clock, ms(200));
+      return;
+    }
+    const found = new Set(reply.value.entries.map((entry) => entry.key));
+    this.revision = reply.value.revision;
+    for (const entry of [...this.entries.values()]) {
+      if (!found.has(entry.key)) this.apply({ kind: "delete", key: entry.key, version: reply.value.revision });
+    }
+    for (const entry of reply.value.entries) {
+      if (this.entries.get(entry.key)?.version !== entry.version) this.apply({ kind: "put", ...entry });
+    }
+    this.freshAt = sent;
+    this.log.info("state read", { entries: this.entries.size });
+  }
+
+  private async catchUp(from: Whole, wait: Micros): Promise<boolean> {
+    const sent = this.clock.now();
+    const reply = await this.store.watch(this.prefix, from, wait);
+    if (reply.kind === "missing") {
+      this.revision = null;
+      return false;
+    }
+    if (reply.kind !== "ok") return false;
+    // A reload in between may have set the revision back to null: it brings everything itself.
+    const known = this.revision;
+    if (known === null) return false;
+    for (const change of reply.value.changes) {
+      // Two requests overlap; what the other one brought must not be undone by an older change.
+      if (change.version > known) this.apply(change);
+    }
+    if (reply.value.revision > known) this.revision = reply.value.revision;
+    this.freshAt = Math.max(this.freshAt ?? 0, sent) as Micros;
+    return true;
+  }
+
+  private apply(change: Change): void {
+    if (change.kind === "put") this.entries.set(change.key, change);
+    else this.entries.delete(change.key);
+    for (const listener of this.listeners) listener(change);
+  }
+}
--- /dev/null
+++ b/src/coordination/commander.ts
@@ -0,0 +1,145 @@
+import type { Machine } from "../bookkeeping/machines.js";
+import { attemptOf, confirmed, type Task } from "../bookkeeping/tasks.js";
+import { formatJson, parseJson } from "../protocol/json.js";
+import { type Command, commandRequest, readReport } from "../protocol/worker.js";
+import { type Micros, ms, seconds } from "../transport/clock.js";
+import { type BlockContext, firstToken, isActive, tokenOf } from "./context.js";
+import type { Observer } from "./observer.js";
+
+const TIMEOUT = ms(1_500);
+const RETRY = ms(500);
+/** Keeps a request well below the limit of a body. */
+const MAX_COMMANDS = 200;
+
+/** Sends workers the difference between what is wanted on a machine and what it has reported. */
+export class Commander {
+  constructor(
+    private readonly context: BlockContext,
+    private readonly observer: Observer,
+  ) {}
+
+  /**
+   * Commands that may be repeated at any time, for the response to a report. Starts are never among them: they
+   * go to /orders only, where a lost one is known to be lost.
+   */
+  standing(machine: Machine): Command[] {
+    const commands: Command[] = [];
+    for (const task of machine.tasks) {
+      if (!isActive(task)) continue;
+      const attempt = attemptOf(task.want);
+      if (task.job.cancelled) commands.push({ op: "stop", task: task.name, attempt, graceS: 0 });
+      else if (task.stop !== null && task.state !== "saving") {
+        commands.push({ op: "stop", task: task.name, attempt, graceS: task.stop.graceS });
+      }
+    }
+    for (const [task, attempt] of machine.strays) commands.push({ op: "stop", task, attempt, graceS: 0 });
+    // A start that got lost could bring a forgotten attempt back to life.
+    if (machine.lostToken === null) {
+      for (const [name, attempt] of machine.exited) {
+        if (this.forgettable(name, attempt)) commands.push({ op: "forget", task: name, attempt });
+      }
+    }
+    return commands.slice(0, MAX_COMMANDS);
+  }
+
+  /** Only what is on record may be forgotten by the worker. */
+  private forgettable(name: string, attempt: unknown): boolean {
+    const slash = name.lastIndexOf("/");
+    const job = this.context.block.jobs.get(name.slice(0, slash));
+    if (job === undefined || job.cancelled) return true;
+    const task = this.findTask(job.ranges, Number(name.slice(slash + 1)));
+    return task === null || task.durable.kind !== "placed" || task.durable.attempt !== attempt;
+  }
+
+  private findTask(ranges: readonly { readonly tasks: readonly Task[] }[], index: number): Task | null {
+    const size = ranges[0]?.tasks.length ?? 1;
+    return ranges[Math.floor(index / size)]?.tasks[index % size] ?? null;
+  }
+
+  private starts(machine: Machine): Task[] {
+    const starts: Task[] = [];
+    for (const task of machine.tasks) {
+      const open = task.launch.kind === "none" || (task.launch.kind === "unsure" && task.state === null);
+      if (open && confirmed(task) && !task.job.cancelled && task.stop === null) starts.push(task);
+    }
+    return starts.slice(0, MAX_COMMANDS);
+  }
+
+  /** `probe`: send even without commands, to learn the worker's state under our token. */
+  async send(machine: Machine, probe = false): Promise<void> {
+    const { clock, lease, http, log } = this.context;
+    const { address, session } = machine;
+    if (address === null || session === null || machine.commanding || machine.state !== "up") return;
+    if (machine.leaseOver || !lease.valid()) return;
+    if (clock.now() < machine.commandAfter && !probe) return;
+    // What was inherited is not started again before the worker has been heard under our token: until then the
+    // attempt may have ended and be waiting for its place in the records.
+    const trusted = machine.seenToken >= firstToken(lease);
+    const starts = trusted ? this.starts(machine) : [];
+    const others = this.standing(machine);
+    if (starts.length === 0 && others.length === 0 && !probe) return;
+    const token = tokenOf(lease, machine);
+    const commands: Command[] = [
+      ...others,
+      ...starts.map((task): Command => ({ op: "start", task: task.name, attempt: attemptOf(task.want) })),
+    ];
+    for (const task of starts) task.launch = { kind: "sending" };
+    machine.commanding = true;
+    const body = formatJson(commandRequest(token, session, commands));
+    const outcome = await http.call(address, { method: "POST", target: "/orders", body }, TIMEOUT);
+    machine.commanding = false;
+    const still = starts.filter((task) => task.on === machine && task.launch.kind === "sending");
+    if (outcome.kind === "answer" && (outcome.status === 200 || outcome.status === 409)) {
+      for (const task of still) task.launch = { kind: outcome.status === 200 ? "seen" : "none" };
+      try {
+        const report = readReport(parseJson(outcome.body));
+        if (report.machine !== machine.name) throw new Error("another machine's report");
+        this.observer.observe(machine, report);
+      } catch (error) {
+        log.error("malformed answer of a worker", { machine: machine.name, error: String(error) });
+        this.lose(machine, token, still);
+      }
+      machine.commandAfter = (outcome.status === 200 ? clock.now() : clock.now() + RETRY) as Micros;
+      if (this.starts(machine).length > 0 || this.standing(machine).length > 0) this.context.wakeCommands(machine);
+      return;
+    }
+    machine.commandAfter = (clock.now() + RETRY) as Micros;
+    if (outcome.kind === "unsent") for (const task of still) task.launch = { kind: "none" };
+    else this.lose(machine, token, still);
+    clock.after(RETRY, () => this.context.wakeCommands(machine));
+  }
+
+  /**
+   * A command got lost on the way and may land minutes later, under this token. From now on the machine is
+   * spoken to under a higher one; a report that shows it proves the lost command dead.
+   */
+  private lose(machine: Machine, token: number, starts: readonly Task[]): void {
+    // Stops and forgets name an attempt that has been seen: late or twice, they do no harm.
+    if (starts.length === 0) return;
+    for (const task of starts) task.launch = { kind: "unsure", token };
+    machine.lostToken = token;
+    machine.fence += 1;
+  }
+
+  /** Stops tasks that cannot end well where they are. */
+  drain(machine: Machine): void {
+    const now = this.context.clock.now();
+    const notice = machine.noticeUntil;
+    if (notice === null && machine.drain === null) return;
+    for (const task of machine.tasks) {
+      if (task.stop !== null) continue;
+      if (task.launch.kind === "none") {
+        this.observer.gone(task);
+        continue;
+      }
+      if (!isActive(task)) continue;
+      const { spec } = task.job;
+      const left = notice === null ? Number.POSITIVE_INFINITY : notice - now;
+      const ran = task.runningSince === null ? 0 : now - task.runningSince;
+      const endsInTime = spec.shape === "array" && seconds(spec.estimateS) - ran < left * 0.7;
+      if (endsInTime && machine.drain !== "faulty") continue;
+      task.stop = { graceS: spec.checkpointS > 0 && seconds(spec.saveS) <= left ? Math.ceil(spec.saveS) : 0 };
+    }
+    if (this.standing(machine).length > 0) this.context.wakeCommands(machine);
+  }
+}
--- /dev/null
+++ b/src/coordination/context.ts
@@ -0,0 +1,61 @@
+import type { Block } from "../bookkeeping/block.js";
+import type { Committer } from "../bookkeeping/committer.js";
+import type { Machine } from "../bookkeeping/machines.js";
+import type { Store } from "../bookkeeping/store.js";
+import type { Task } from "../bookkeeping/tasks.js";
+import type { View } from "../bookkeeping/view.js";
+import type { Whole } from "../protocol/json.js";
+import type { Options } from "../settings/options.js";
+import type { Settings } from "../settings/settings.js";
+import type { Clock, Micros } from "../transport/clock.js";
+import type { HttpClient } from "../transport/http.js";
+import type { Log } from "../transport/log.js";
+
+/** What every part of the program is handed. */
+export interface Services {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly settings: Settings;
+  readonly options: Options;
+  readonly http: HttpClient;
+  readonly store: Store;
+  readonly committer: Committer;
+  readonly view: View;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** A leased block of machines. `number` is fresh at every handover. */
+export interface BlockLease {
+  readonly block: number;
+  readonly number: number;
+  readonly key: string;
+  readonly version: Whole;
+  /** By this process's own clock, counted from before the request that renewed it. */
+  valid(): boolean;
+}
+
+export interface BlockContext extends Services {
+  readonly block: Block;
+  readonly lease: BlockLease;
+  /** Another holder has, or may have, the block: nothing more may be done in its name. */
+  fenced(): void;
+  /** Room or work has appeared. */
+  wakeRound(): void;
+  wakeCommands(machine: Machine): void;
+}
+
+const FENCES = 65_536;
+
+/** Tokens stay exact as plain numbers; both parts are checked. */
+export const tokenOf = (lease: BlockLease, machine: Machine): number => {
+  if (machine.fence >= FENCES || lease.number >= 2 ** 36) throw new Error("token out of range");
+  return lease.number * FENCES + machine.fence;
+};
+
+export const firstToken = (lease: BlockLease): number => lease.number * FENCES;
+
+export const backOff = (failures: number, first: Micros, most: Micros): Micros =>
+  Math.min(most, first * 2 ** Math.min(20, failures)) as Micros;
+
+export const isActive = (task: Task): boolean => task.on !== null && task.state !== null && task.state !== "exited";
--- /dev/null
+++ b/src/coordination/controller.ts
@@ -0,0 +1,149 @@
+import { Committer } from "../bookkeeping/committer.js";
+import { CURRENT, TYPES_KEY } from "../bookkeeping/records.js";
+import { Store } from "../bookkeeping/store.js";
+import { View } from "../bookkeeping/view.js";
+import { type MachineType, readTypes } from "../protocol/cloud.js";
+import { formatJson, Malformed, parseJson } from "../protocol/json.js";
+import { type Report, readReport, redirectAnswer, reportAnswer } from "../protocol/worker.js";
+import type { Options } from "../settings/options.js";
+import type { Settings } from "../settings/settings.js";
+import { type Clock, seconds, sleep } from "../transport/clock.js";
+import type { HttpClient, Request, Response } from "../transport/http.js";
+import { describeError, type Log } from "../transport/log.js";
+import { Cloud } from "./cloud.js";
+import type { BlockLease, Services } from "./context.js";
+import { FrontDoor } from "./front-door.js";
+import { Membership } from "./membership.js";
+import { Steward } from "./steward.js";
+
+/** Both limits of the state service are shared by all controllers, whose shares of the work differ. */
+const SHARE = 0.7;
+
+export interface Outside {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly http: HttpClient;
+  readonly random: () => number;
+}
+
+/** One controller: what `main` and the simulated clusters of the tests both start. */
+export class Controller {
+  private readonly services: Services;
+  private readonly types = new Map<string, MachineType>();
+  private readonly cloud: Cloud;
+  private readonly membership: Membership;
+  private readonly frontDoor: FrontDoor;
+  private readonly stewards = new Map<number, Steward>();
+
+  constructor(outside: Outside, settings: Settings, options: Options, incarnation: string) {
+    const { clock, log, http, random } = outside;
+    const store = new Store(
+      http,
+      settings.stateAddress,
+      clock,
+      log,
+      {
+        requestsPerS: settings.state.rps * SHARE,
+        writesPerS: settings.state.writeRps * SHARE,
+        writesPerTransaction: settings.state.transactionWrites,
+      },
+      random,
+    );
+    const view = new View(store, CURRENT, clock, log);
+    const committer = new Committer(store, clock, random);
+    this.services = { clock, log, settings, options, http, store, committer, view, random };
+    this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
+    this.membership = new Membership(this.services, incarnation, {
+      taken: (lease) => this.take(lease),
+      dropped: (block) => this.drop(block),
+    });
+    this.frontDoor = new FrontDoor(this.services, this.types, (id) => {
+      for (const steward of this.stewards.values()) {
+        const counts = steward.running(id);
+        if (counts !== null) return counts;
+      }
+      return null;
+    });
+    view.onChange((change) => {
+      if (change.key === TYPES_KEY && change.kind === "put") this.learnTypes(change.value);
+      for (const steward of this.stewards.values()) steward.changed(change);
+    });
+  }
+
+  start(): void {
+    const { view, log } = this.services;
+    const keep = (name: string, work: Promise<unknown>): void => {
+      work.catch((error: unknown) => log.error("loop ended", { name, error: describeError(error) }));
+    };
+    keep("view", view.follow());
+    keep("membership", this.membership.run());
+    keep("types", this.fetchTypes());
+  }
+
+  async handle(request: Request): Promise<Response> {
+    if (request.target === "/hello") {
+      return request.method === "POST" ? this.hello(request.body) : { status: 405, body: "{}" };
+    }
+    return this.frontDoor.handle(request);
+  }
+
+  private hello(body: string): Response {
+    let report: Report;
+    try {
+      report = readReport(parseJson(body));
+    } catch (error) {
+      if (error instanceof Malformed || error instanceof SyntaxError) {
+        this.services.log.error("malformed report", { error: error.message });
+        return { status: 400, body: '{"error":"malformed report"}' };
+      }
+      throw error;
+    }
+    const block = this.blockOf(report.machine);
+    const steward = this.stewards.get(block);
+    if (steward === undefined) {
+      const holder = this.membership.holder(block);
+      const elsewhere = holder === this.services.settings.label ? null : holder;
+      return { status: 421, body: formatJson(redirectAnswer(elsewhere)) };
+    }
+    const answer = steward.report(report);
+    if (answer === null) return { status: 503, body: "{}" };
+    return { status: 200, body: formatJson(reportAnswer(answer.token, answer.commands)) };
+  }
+
+  private blockOf(machine: string): number {
+    let hash = 0;
+    for (const char of machine) hash = (hash * 31 + char.charCodeAt(0)) % 1_000_003;
+    return hash % this.services.options.blocks;
+  }
+
+  private take(lease: BlockLease): void {
+    const steward = new Steward(this.services, lease, this.cloud, this.types, () => this.membership.drop(lease.block));
+    this.stewards.set(lease.block, steward);
+  }
+
+  private drop(block: number): void {
+    this.services.log.info("block dropped", { block });
+    this.stewards.get(block)?.stop();
+    this.stewards.delete(block);
+  }
+
+  private learnTypes(raw: unknown): void {
+    try {
+      const types = readTypes(raw);
+      if (this.types.size === 0) for (const type of types) this.types.set(type.name, type);
+    } catch (error) {
+      this.services.log.error("malformed types on record", { error: String(error) });
+    }
+  }
+
+  private async fetchTypes(): Promise<void> {
+    const { clock, view } = this.services;
+    // The record spares the cloud a question at every restart.
+    while (!view.loaded) await sleep(clock, seconds(0.05));
+    while (this.types.size === 0) {
+      const reply = await this.cloud.types();
+      if (reply.kind === "ok") this.learnTypes(reply.value.raw);
+      else await sleep(clock, seconds(1 + this.services.random()));
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/front-door.ts
@@ -0,0 +1,204 @@
+import {
+  type EndRecord,
+  endKey,
+  type JobRecord,
+  jobKey,
+  rangeKey,
+  readEnd,
+  readJob,
+  readRange,
+} from "../bookkeeping/records.js";
+import type { MachineType } from "../protocol/cloud.js";
+import { formatJson, Malformed, parseJson } from "../protocol/json.js";
+import type { Entry } from "../protocol/state.js";
+import { isJobId, type JobPhase, type JobSpec, phaseAnswer, readSubmission, statusAnswer } from "../protocol/user.js";
+import { ms, seconds } from "../transport/clock.js";
+import type { Request, Response } from "../transport/http.js";
+import type { Services } from "./context.js";
+import { fits } from "./placement/bfgp.js";
+
+const REMEMBERED_ENDS = 5_000;
+/** A view older than this cannot be counted on for answers: say so to the load balancer. */
+const STALE = seconds(4);
+/** Beyond this wait for the write budget a submission is better told to come back. */
+const MAX_BACKLOG = ms(1_500);
+const CANCEL_TRIES = 4;
+
+const answer = (status: number, body: unknown): Response => ({ status, body: formatJson(body) });
+const comeBack = (why: string): Response => ({ status: 503, body: formatJson({ error: why }), retryAfterS: 1 });
+
+type Found =
+  | { readonly kind: "current"; readonly entry: Entry }
+  | { readonly kind: "ended"; readonly end: EndRecord }
+  | { readonly kind: "never" }
+  | { readonly kind: "unknown" };
+
+/** The users' interface, the same at every controller. */
+export class FrontDoor {
+  private readonly ends = new Map<string, EndRecord>();
+
+  constructor(
+    private readonly services: Services,
+    private readonly types: ReadonlyMap<string, MachineType>,
+    private readonly running: (id: string) => { done: number; running: number } | null,
+  ) {}
+
+  async handle(request: Request): Promise<Response> {
+    const path = request.target.split("?")[0] ?? "";
+    if (path === "/up") return request.method === "GET" ? this.up() : answer(405, { error: "use GET" });
+    if (path === "/v2/runs") {
+      return request.method === "POST" ? this.submit(request.body) : answer(405, { error: "use POST" });
+    }
+    const match = /^\/v2\/runs\/([^/]+)(\/abort)?$/.exec(path);
+    const id = match?.[1];
+    if (id === undefined) return answer(404, { error: "no such path" });
+    const wanted = match?.[2] === undefined ? "GET" : "POST";
+    if (request.method !== wanted) return answer(405, { error: `use ${wanted}` });
+    if (!isJobId(id)) return answer(404, { error: "no such job" });
+    return wanted === "GET" ? this.status(id) : this.cancel(id);
+  }
+
+  private up(): Response {
+    const { view, clock } = this.services;
+    const fresh = view.freshAt !== null && clock.now() - view.freshAt < STALE;
+    return fresh && this.types.size > 0 ? answer(200, { up: true }) : comeBack("not ready");
+  }
+
+  private async submit(body: string): Promise<Response> {
+    const { committer, view, options } = this.services;
+    let spec: JobSpec;
+    try {
+      spec = readSubmission(parseJson(body));
+    } catch (error) {
+      if (error instanceof Malformed || error instanceof SyntaxError) return answer(400, { error: error.message });
+      throw error;
+    }
+    if (!view.loaded || this.types.size === 0) return comeBack("machine types unknown");
+    if (view.entries.has(jobKey(spec.id)) || this.ends.has(spec.id)) return this.status(spec.id);
+    const never = this.canNeverRun(spec);
+    if (never !== null) return answer(422, { error: never });
+    if (committer.backlog > MAX_BACKLOG) return comeBack("busy");
+    const record: JobRecord = { spec, block: this.homeOf(spec, options.blocks), cancelled: false };
+    const key = jobKey(spec.id);
+    const result = await committer.propose(
+      new Map([
+        [key, 0],
+        [endKey(spec.id), 0],
+      ]),
+      [{ kind: "put", key, value: record }],
+    );
+    switch (result.kind) {
+      case "ok":
+        return answer(201, phaseAnswer(spec.id, "queued"));
+      case "conflict":
+        return this.status(spec.id);
+      case "refused":
+      case "lost":
+        return comeBack("state service unavailable");
+    }
+  }
+
+  /** A team with a limit has one home, so that one ledger keeps it; so has everybody's work, for simplicity. */
+  private homeOf(spec: JobSpec, blocks: number): number {
+    let hash = 0;
+    for (const char of spec.team) hash = (hash * 31 + char.charCodeAt(0)) % 1_000_003;
+    return hash % blocks;
+  }
+
+  private canNeverRun(spec: JobSpec): string | null {
+    const { settings } = this.services;
+    const team = settings.teams.get(spec.team);
+    if (team === undefined) return "unknown team";
+    const fitting = [...this.types.values()].some(
+      (type) =>
+        (spec.types === null || spec.types.includes(type.name)) &&
+        (spec.zone === null || type.zones.includes(spec.zone)) &&
+        fits(spec.demand, type.capacity),
+    );
+    if (!fitting) return "a task fits no allowed machine type";
+    const count = spec.shape === "service" ? spec.tasks : 1;
+    const over =
+      (team.limit.cpu !== null && spec.demand.cpu * count > team.limit.cpu) ||
+      (team.limit.gpu !== null && spec.demand.gpu * count > team.limit.gpu);
+    return over ? "more than the team's limit" : null;
+  }
+
+  /** No older than the question: what any controller has told anybody before is known to the answer. */
+  private async find(id: string): Promise<Found> {
+    const { view, store } = this.services;
+    const known = this.ends.get(id);
+    if (known !== undefined) return { kind: "ended", end: known };
+    if (!(await view.sync())) return { kind: "unknown" };
+    const entry = view.entries.get(jobKey(id));
+    if (entry !== undefined) return { kind: "current", entry };
+    const reply = await store.get(endKey(id));
+    if (reply.kind === "missing") return { kind: "never" };
+    if (reply.kind !== "ok") return { kind: "unknown" };
+    const end = readEnd(reply.value.value);
+    this.remember(id, end);
+    return { kind: "ended", end };
+  }
+
+  private remember(id: string, end: EndRecord): void {
+    this.ends.set(id, end);
+    if (this.ends.size <= REMEMBERED_ENDS) return;
+    const oldest = this.ends.keys().next().value;
+    if (oldest !== undefined) this.ends.delete(oldest);
+  }
+
+  private async status(id: string): Promise<Response> {
+    const found = await this.find(id);
+    switch (found.kind) {
+      case "unknown":
+        return comeBack("state service unavailable");
+      case "never":
+        return answer(404, { error: "no such job" });
+      case "ended":
+        return answer(200, statusAnswer(id, found.end.phase, found.end.done, 0));
+      case "current": {
+        const { spec, cancelled } = readJob(found.entry.value);
+        const counts = this.running(id) ?? this.onRecord(spec);
+        const phase: JobPhase = cancelled ? "cancelled" : counts.running > 0 ? "running" : "queued";
+        return answer(200, statusAnswer(id, phase, counts.done, counts.running));
+      }
+    }
+  }
+
+  /** Where the job's block is held elsewhere, what is placed stands for what is running. */
+  private onRecord(spec: JobSpec): { done: number; running: number } {
+    let done = 0;
+    let running = 0;
+    for (let range = 0; ; range += 1) {
+      const entry = this.services.view.entries.get(rangeKey(spec.id, range));
+      if (entry === undefined) return { done, running };
+      for (const task of readRange(entry.value)) {
+        if (task.kind === "done") done += 1;
+        if (task.kind === "placed") running += 1;
+      }
+    }
+  }
+
+  private async cancel(id: string): Promise<Response> {
+    const { committer, view } = this.services;
+    for (let tries = 0; tries < CANCEL_TRIES; tries += 1) {
+      const entry = view.entries.get(jobKey(id));
+      if (entry === undefined) {
+        const found = await this.find(id);
+        if (found.kind === "current") continue;
+        if (found.kind === "never") return answer(404, { error: "no such job" });
+        if (found.kind === "unknown") return comeBack("state service unavailable");
+        return answer(200, phaseAnswer(id, found.end.phase));
+      }
+      const record = readJob(entry.value);
+      if (record.cancelled) return answer(200, phaseAnswer(id, "cancelled"));
+      const value: JobRecord = { ...record, cancelled: true };
+      const result = await committer.propose(new Map([[entry.key, entry.version]]), [
+        { kind: "put", key: entry.key, value },
+      ]);
+      if (result.kind === "ok") return answer(200, phaseAnswer(id, "cancelled"));
+      if (result.kind !== "conflict") return comeBack("state service unavailable");
+      if (!(await view.sync())) return comeBack("state service unavailable");
+    }
+    return comeBack("busy");
+  }
+}
--- /dev/null
+++ b/src/coordination/observer.ts
@@ -0,0 +1,180 @@
+import type { Machine } from "../bookkeeping/machines.js";
+import { attemptOf, type Task } from "../bookkeeping/tasks.js";
+import type { Whole } from "../protocol/json.js";
+import type { ExitReason, Report, TaskReport } from "../protocol/worker.js";
+import { type Micros, seconds } from "../transport/clock.js";
+import { type BlockContext, backOff, firstToken } from "./context.js";
+import type { Recorder } from "./recorder.js";
+
+const RETRY_FIRST = seconds(0.5);
+const RETRY_MOST = seconds(30);
+const JOB_RETRY_MOST = seconds(60);
+/** Failures older than this say nothing about the machine any more. */
+const FAILURE_MEMORY = seconds(90);
+/** Failing on so many machines, the job is the likelier culprit. */
+const BAD_JOB_MACHINES = 3;
+
+/** Takes in what workers say and concludes from it which tasks are where, or surely nowhere. */
+export class Observer {
+  constructor(
+    private readonly context: BlockContext,
+    private readonly recorder: Recorder,
+  ) {}
+
+  /** `old`: nothing learnt. `untrusted`: the worker does not know our token yet, so its list proves nothing. */
+  observe(machine: Machine, report: Report): "new" | "old" | "stale" | "untrusted" {
+    const { clock, lease } = this.context;
+    if (machine.staleSession !== null && report.session <= machine.staleSession) return "stale";
+    if (machine.session !== null) {
+      if (report.session < machine.session) return "stale";
+      if (report.session === machine.session && report.sequence <= machine.sequence) return "old";
+    }
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.address = report.address;
+    machine.seenToken = report.token;
+    machine.lastHeard = clock.now();
+    if (machine.state !== "up") {
+      machine.state = "up";
+      machine.idleSince = clock.now();
+      this.context.log.info("machine up", { machine: machine.name, zone: machine.zone, spot: machine.spot });
+      this.context.wakeRound();
+    }
+    if (report.noticeS === null) machine.noticeUntil = null;
+    else if (machine.noticeUntil === null) {
+      machine.noticeUntil = (clock.now() + seconds(report.noticeS)) as Micros;
+      this.context.log.info("machine notice", { machine: machine.name, leftS: report.noticeS });
+      this.context.wakeRound();
+    }
+    if (report.token < firstToken(lease)) return "untrusted";
+    if (machine.lostToken !== null && report.token > machine.lostToken) machine.lostToken = null;
+    this.reconcile(machine, report);
+    return "new";
+  }
+
+  /** The machine, its tasks and every command sent to it are surely gone. */
+  lost(machine: Machine, why: string): void {
+    if (machine.tasks.size > 0) {
+      this.context.log.info("tasks lost", { machine: machine.name, why, tasks: machine.tasks.size });
+    }
+    for (const task of [...machine.tasks]) this.gone(task);
+    machine.strays = new Map();
+    machine.exited = new Map();
+  }
+
+  /** Proved not to be on its machine. */
+  gone(task: Task): void {
+    if (task.want.kind === "placed") task.want = { kind: "waiting", attempt: task.want.attempt };
+    const { job } = task;
+    this.context.block.vacate(task);
+    this.context.wakeRound();
+    if (job.cancelled) this.recorder.finish(job);
+    else this.recorder.mark(task.range);
+  }
+
+  private reconcile(machine: Machine, report: Report): void {
+    const strays = new Map<string, Whole>();
+    const exited = new Map<string, Whole>();
+    const listed = new Map<string, TaskReport[]>();
+    for (const entry of report.tasks) {
+      const same = listed.get(entry.task) ?? [];
+      same.push(entry);
+      listed.set(entry.task, same);
+      (entry.state === "exited" ? exited : strays).set(entry.task, entry.attempt);
+    }
+    for (const task of [...machine.tasks]) {
+      const attempt = attemptOf(task.want);
+      const entry = listed.get(task.name)?.find((candidate) => candidate.attempt === attempt);
+      if (entry === undefined) this.unlisted(task, report.token);
+      else {
+        if (entry.state !== "exited") strays.delete(task.name);
+        this.listed(machine, task, entry);
+      }
+    }
+    machine.strays = strays;
+    machine.exited = exited;
+    if (strays.size > 0) {
+      this.context.log.info("strays", { machine: machine.name, tasks: [...strays.keys()].slice(0, 5) });
+    }
+  }
+
+  private unlisted(task: Task, token: Whole): void {
+    switch (task.launch.kind) {
+      case "none":
+      case "sending":
+        return;
+      case "unsure":
+        // Only a worker past the token under which the start was sent can no longer get it.
+        if (token <= task.launch.token) return;
+        task.launch = { kind: "none" };
+        if (task.job.cancelled || task.stop !== null) this.gone(task);
+        else if (task.on !== null) this.context.wakeCommands(task.on);
+        return;
+      case "seen":
+        this.gone(task);
+    }
+  }
+
+  private listed(machine: Machine, task: Task, entry: TaskReport): void {
+    const { clock } = this.context;
+    task.launch = { kind: "seen" };
+    if (entry.state === "exited") {
+      this.exit(machine, task, entry.reason ?? "error");
+      return;
+    }
+    if (entry.state === "running" && task.state !== "running") {
+      task.runningSince = clock.now();
+      this.context.block.remember(machine, task);
+    }
+    task.state = entry.state;
+  }
+
+  private exit(machine: Machine, task: Task, reason: ExitReason): void {
+    const { block, clock, log } = this.context;
+    const { job } = task;
+    const now = clock.now();
+    if (reason === "done") {
+      block.remember(machine, task);
+      task.want = { kind: "done" };
+      block.vacate(task);
+      job.done += 1;
+      job.failures = 0;
+      job.failedOn.clear();
+      if (job.done >= job.spec.tasks || job.cancelled) this.recorder.finish(job);
+      else this.recorder.mark(task.range);
+      this.context.wakeRound();
+      return;
+    }
+    if (reason !== "stopped") {
+      log.info("task failed", { task: task.name, machine: machine.name, reason });
+      task.failures += 1;
+      task.notBefore = (now + backOff(task.failures - 1, RETRY_FIRST, RETRY_MOST)) as Micros;
+      if (reason === "error") this.blame(machine, task, now);
+      // A refusal for room means that our picture of the machine is off until the next report.
+      else machine.avoidUntil = Math.max(machine.avoidUntil, now + seconds(1)) as Micros;
+    }
+    this.gone(task);
+  }
+
+  /**
+   * Several jobs failing on one machine speak against the machine; one job failing on several machines speaks
+   * against the job. Both are backed off, separately.
+   */
+  private blame(machine: Machine, task: Task, now: Micros): void {
+    const { job } = task;
+    job.failedOn.add(machine.name);
+    if (job.failedOn.size >= BAD_JOB_MACHINES) {
+      job.failures += 1;
+      job.retryAfter = (now + backOff(job.failures, seconds(1), JOB_RETRY_MOST)) as Micros;
+      for (const name of job.failedOn) this.context.block.machines.get(name)?.failures.delete(job.spec.id);
+      return;
+    }
+    for (const [id, at] of machine.failures) if (now - at > FAILURE_MEMORY) machine.failures.delete(id);
+    machine.failures.set(job.spec.id, now);
+    machine.avoidUntil = Math.max(machine.avoidUntil, now + seconds(20)) as Micros;
+    if (machine.failures.size >= 2 && machine.drain === null) {
+      machine.drain = "faulty";
+      this.context.log.info("machine faulty", { machine: machine.name, jobs: [...machine.failures.keys()] });
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/rental.ts
@@ -0,0 +1,368 @@
+import { type Machine, newMachine } from "../bookkeeping/machines.js";
+import type { ListedMachine, MachineType } from "../protocol/cloud.js";
+import type { Demand, JobSpec } from "../protocol/user.js";
+import { type Micros, ms, seconds, sleep } from "../transport/clock.js";
+import type { Cloud } from "./cloud.js";
+import { type BlockContext, backOff } from "./context.js";
+import type { Observer } from "./observer.js";
+import { fits, minus } from "./placement/bfgp.js";
+import { allows, type Rounds, zoneAllowed, zoneCounts } from "./rounds.js";
+
+const PLAN_PERIOD = ms(400);
+const MIN_CHARGE = seconds(58);
+const REFUSAL_FIRST = seconds(4);
+const REFUSAL_MOST = seconds(40);
+/** A boot is late beyond this multiple of the type's time, and given up beyond the other. */
+const LATE_BOOT = 1.8;
+const DEAD_BOOT = 5;
+const MAX_ASK = 50;
+const MAX_DELETE = 100;
+const RECENT_JOBS = 30;
+
+interface Option {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** Room that is there or on its way. */
+interface Bin extends Option {
+  readonly machine: Machine | null;
+  free: Demand;
+  used: boolean;
+}
+
+interface Ask {
+  readonly name: string;
+  readonly option: Option;
+  readonly count: number;
+  readonly since: Micros;
+}
+
+interface ClassHistory {
+  spec: JobSpec;
+  readonly sizes: number[];
+}
+
+const optionKey = (option: Option): string => `${option.type.name}/${option.zone}/${option.spot}`;
+const priceOf = (option: Option): number => (option.spot ? option.type.spotPrice : option.type.price);
+
+/** Brings the machines that are present towards those that are wanted. */
+export class Rental {
+  private readonly asks: Ask[] = [];
+  private counter = 0;
+  private readonly refusals = new Map<string, { until: Micros; count: number }>();
+  private readonly history = new Map<string, ClassHistory>();
+  private stopped = false;
+  private listed = false;
+
+  constructor(
+    private readonly context: BlockContext,
+    private readonly cloud: Cloud,
+    private readonly rounds: Rounds,
+    private readonly observer: Observer,
+  ) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Sizes of recent jobs tell how much room the next one is likely to want at once. */
+  learn(spec: JobSpec): void {
+    const known = this.history.get(spec.jobClass) ?? { spec, sizes: [] };
+    known.spec = spec;
+    known.sizes.push(spec.tasks);
+    if (known.sizes.length > RECENT_JOBS) known.sizes.shift();
+    this.history.set(spec.jobClass, known);
+  }
+
+  async run(): Promise<void> {
+    void this.loop(() => this.watchList(), this.listPeriod());
+    await this.loop(() => this.plan(), PLAN_PERIOD);
+  }
+
+  private listPeriod(): Micros {
+    return Math.max(seconds(2), this.context.settings.cloud.listLag / 2) as Micros;
+  }
+
+  private async loop(step: () => Promise<void>, period: Micros): Promise<void> {
+    while (!this.stopped) {
+      try {
+        if (this.context.lease.valid()) await step();
+      } catch (error) {
+        this.context.log.error("rental step failed", { error: String(error) });
+      }
+      await sleep(this.context.clock, period);
+    }
+  }
+
+  // What the cloud says -----------------------------------------------------------------------------------
+
+  private async watchList(): Promise<void> {
+    const reply = await this.cloud.list();
+    if (reply.kind !== "ok" || this.stopped) return;
+    const { block, clock, settings } = this.context;
+    const names = new Set<string>();
+    for (const listed of reply.value) {
+      names.add(listed.name);
+      if (!block.deleted.has(listed.name)) this.take(listed);
+    }
+    this.listed = true;
+    const now = clock.now();
+    for (const machine of [...block.machines.values()]) {
+      if (names.has(machine.name) || machine.tasks.size > 0) continue;
+      // Absence is weak, so it only ends records that nothing depends on and that nobody has heard of for long.
+      const quiet = now - Math.max(machine.lastHeard, machine.rentedAt);
+      if (quiet > settings.workers.lease + 4 * settings.cloud.listLag + seconds(20))
+        block.machines.delete(machine.name);
+    }
+    for (const name of block.deleted) if (!names.has(name) && block.deleted.size > 500) block.deleted.delete(name);
+  }
+
+  private take(listed: ListedMachine): void {
+    const { block, clock, log } = this.context;
+    const type = block.types().get(listed.type) ?? null;
+    let machine = block.machines.get(listed.name);
+    if (machine === undefined) {
+      machine = newMachine(listed.name, listed.type, type, listed.zone, listed.spot, clock.now());
+      machine.rentedAt = (clock.now() - seconds(listed.ageS)) as Micros;
+      block.machines.set(listed.name, machine);
+      log.info("machine found", { machine: listed.name, state: listed.state });
+    }
+    machine.type = type;
+    machine.typeName = listed.type;
+    machine.zone = listed.zone;
+    machine.spot = listed.spot;
+    machine.address ??= listed.address;
+    if (listed.state === "failed" && !machine.deleting) {
+      log.info("machine failed", { machine: machine.name });
+      this.observer.lost(machine, "failed");
+      void this.remove([machine]);
+    }
+  }
+
+  /** The answer proves that the machines and all that was on them are gone. */
+  async remove(machines: readonly Machine[]): Promise<void> {
+    const { block, clock, lease, log } = this.context;
+    for (const machine of machines) machine.deleting = true;
+    for (let tries = 0; !this.stopped; tries += 1) {
+      if (lease.valid()) {
+        const reply = await this.cloud.delete(machines.map((machine) => machine.name));
+        if (reply.kind === "ok") break;
+      }
+      await sleep(clock, backOff(tries, ms(500), seconds(5)));
+    }
+    if (this.stopped) return;
+    for (const machine of machines) {
+      machine.state = "gone";
+      block.deleted.add(machine.name);
+      this.observer.lost(machine, "deleted");
+      block.machines.delete(machine.name);
+    }
+    log.info("machines deleted", { machines: machines.map((machine) => machine.name) });
+  }
+
+  // What is wanted ----------------------------------------------------------------------------------------
+
+  private async plan(): Promise<void> {
+    if (!this.listed || this.context.block.types().size === 0) return;
+    const bins = this.bins();
+    const before = bins.length;
+    this.packWaiting(bins);
+    this.packHeadroom(bins);
+    this.rent(bins.slice(before));
+    this.giveBack(bins);
+    await this.settleAsks();
+  }
+
+  private bins(): Bin[] {
+    const { block, clock } = this.context;
+    const now = clock.now();
+    const bins: Bin[] = this.rounds.candidates().flatMap(({ machine, free }) =>
+      machine.type === null
+        ? []
+        : [
+            {
+              type: machine.type,
+              zone: machine.zone,
+              spot: machine.spot,
+              machine,
+              free,
+              used: machine.tasks.size > 0,
+            },
+          ],
+    );
+    // Fullest and cheapest first: what stays empty at the end is what can go back.
+    bins.sort(
+      (a, b) =>
+        Number(b.used) - Number(a.used) ||
+        Number(b.spot) - Number(a.spot) ||
+        (a.machine?.name ?? "").localeCompare(b.machine?.name ?? ""),
+    );
+    for (const machine of block.machines.values()) {
+      const { type } = machine;
+      if (type === null || machine.state !== "booting" || machine.deleting) continue;
+      if (now - machine.rentedAt > seconds(type.bootS * LATE_BOOT + 2)) continue;
+      bins.push({ type, zone: machine.zone, spot: machine.spot, machine, free: type.capacity, used: false });
+    }
+    for (const ask of this.asks) {
+      for (let at = 0; at < ask.count; at += 1) {
+        bins.push({ ...ask.option, machine: null, free: ask.option.type.capacity, used: false });
+      }
+    }
+    return bins;
+  }
+
+  private packWaiting(bins: Bin[]): void {
+    const { block, settings } = this.context;
+    for (const job of this.rounds.waiting()) {
+      const { spec } = job;
+      let count =
+        job.waiting.size + Math.max(0, spec.tasks - job.ranges.reduce((sum, range) => sum + range.tasks.length, 0));
+      const limit = settings.teams.get(spec.team)?.limit.cpu ?? null;
+      if (limit !== null && spec.demand.cpu > 0) {
+        count = Math.min(count, Math.max(0, Math.floor((limit - block.teamUse(spec.team).cpu) / spec.demand.cpu)));
+      }
+      this.pack(spec, count, zoneCounts(job), bins);
+    }
+  }
+
+  /** A start within a second cannot wait for a boot: such classes find the room for a usual job standing. */
+  private packHeadroom(bins: Bin[]): void {
+    const { settings, options } = this.context;
+    const classes = [...this.history.values()].sort((a, b) => Number(a.spec.spot) - Number(b.spec.spot));
+    for (const { spec, sizes } of classes) {
+      const boot = Math.min(...[...this.context.block.types().values()].map((type) => type.bootS));
+      const hurried = settings.objectives.some(
+        (objective) =>
+          objective.kind === "wait" &&
+          objective.jobClass === spec.jobClass &&
+          (objective.within ?? seconds(1e6)) < seconds(boot),
+      );
+      if (!hurried) continue;
+      const usual = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+      this.pack({ ...spec, oneZone: false, tasks: 1_000 }, Math.ceil(usual * options.headroom), new Map(), bins);
+    }
+  }
+
+  private pack(spec: JobSpec, count: number, counts: Map<string, number>, bins: Bin[]): void {
+    let start = 0;
+    for (let left = Math.min(count, 2_000); left > 0; left -= 1) {
+      let bin: Bin | undefined;
+      for (let at = start; at < bins.length && bin === undefined; at += 1) {
+        const candidate = bins[at];
+        if (candidate === undefined || !fits(spec.demand, candidate.free)) {
+          if (at === start) start += 1;
+          continue;
+        }
+        if (!allows(spec, candidate.type.name, candidate.zone, candidate.spot)) continue;
+        if (zoneAllowed(spec, counts, candidate.zone)) bin = candidate;
+      }
+      if (bin === undefined) {
+        const option = this.best(spec, left, counts, bins);
+        if (option === null) return;
+        bin = { ...option, machine: null, free: option.type.capacity, used: false };
+        bins.push(bin);
+      }
+      bin.free = minus(bin.free, spec.demand);
+      bin.used = true;
+      counts.set(bin.zone, (counts.get(bin.zone) ?? 0) + 1);
+    }
+  }
+
+  /** The cheapest by the task; among near equals the zone that holds least, so that a wave takes less. */
+  private best(spec: JobSpec, left: number, counts: ReadonlyMap<string, number>, bins: readonly Bin[]): Option | null {
+    const now = this.context.clock.now();
+    let best: { option: Option; cost: number } | null = null;
+    for (const type of this.context.block.types().values()) {
+      if (!fits(spec.demand, type.capacity)) continue;
+      let fit = 0;
+      for (let free = type.capacity; fit < left && fits(spec.demand, free); fit += 1) free = minus(free, spec.demand);
+      for (const zone of type.zones) {
+        for (const spot of [false, true]) {
+          const option: Option = { type, zone, spot };
+          if (!allows(spec, type.name, zone, spot) || !zoneAllowed(spec, counts, zone)) continue;
+          if ((this.refusals.get(optionKey(option))?.until ?? 0) > now) continue;
+          const same = bins.filter((bin) => bin.zone === zone && bin.spot === spot).length;
+          const cost = (priceOf(option) / Math.max(1, fit)) * (1 + (0.2 * same) / (bins.length + 1));
+          if (best === null || cost < best.cost) best = { option, cost };
+        }
+      }
+    }
+    return best?.option ?? null;
+  }
+
+  // Bringing both together --------------------------------------------------------------------------------
+
+  private rent(wanted: readonly Bin[]): void {
+    const { clock, lease } = this.context;
+    const groups = new Map<string, { option: Option; count: number }>();
+    for (const { type, zone, spot } of wanted) {
+      const option = { type, zone, spot };
+      const group = groups.get(optionKey(option)) ?? { option, count: 0 };
+      group.count += 1;
+      groups.set(optionKey(option), group);
+    }
+    for (const { option, count } of groups.values()) {
+      this.counter += 1;
+      // Never reused: the lease number is fresh at every handover, the counter within it.
+      const name = `r-${lease.block}-${lease.number}-${this.counter}`;
+      this.asks.push({ name, option, count: Math.min(count, MAX_ASK), since: clock.now() });
+    }
+  }
+
+  private async settleAsks(): Promise<void> {
+    const { lease } = this.context;
+    for (const ask of [...this.asks]) {
+      if (!lease.valid() || this.stopped) return;
+      const { type, zone, spot } = ask.option;
+      const reply = await this.cloud.rent(ask.name, type.name, zone, spot, ask.count);
+      if (reply.kind === "failed") return;
+      this.asks.splice(this.asks.indexOf(ask), 1);
+      this.rented(ask, reply.kind === "ok" ? reply.value : []);
+    }
+  }
+
+  private rented(ask: Ask, names: readonly string[]): void {
+    const { block, clock, log } = this.context;
+    const { type, zone, spot } = ask.option;
+    log.info("rented", { ask: ask.name, type: type.name, zone, spot, asked: ask.count, got: names.length });
+    for (const name of names) {
+      const known = block.machines.get(name);
+      if (known !== undefined || block.deleted.has(name)) continue;
+      const machine = newMachine(name, type.name, type, zone, spot, clock.now());
+      machine.rentedAt = ask.since;
+      block.machines.set(name, machine);
+    }
+    const key = optionKey(ask.option);
+    if (names.length >= ask.count) {
+      this.refusals.delete(key);
+      return;
+    }
+    const count = (this.refusals.get(key)?.count ?? 0) + 1;
+    this.refusals.set(key, { until: (clock.now() + backOff(count - 1, REFUSAL_FIRST, REFUSAL_MOST)) as Micros, count });
+  }
+
+  private giveBack(bins: readonly Bin[]): void {
+    const { block, clock, options } = this.context;
+    const now = clock.now();
+    const wanted = new Set(bins.filter((bin) => bin.used).map((bin) => bin.machine?.name));
+    const back: Machine[] = [];
+    for (const machine of block.machines.values()) {
+      if (machine.deleting || machine.tasks.size > 0) continue;
+      const age = now - machine.rentedAt;
+      if (machine.state === "booting") {
+        const boot = seconds((machine.type?.bootS ?? 60) * DEAD_BOOT + 15);
+        if (age > boot) back.push(machine);
+        continue;
+      }
+      if (machine.drain !== null || machine.type === null) {
+        back.push(machine);
+        continue;
+      }
+      const idle = now - machine.idleSince > seconds(options.idleReturnS) && age > MIN_CHARGE;
+      if (idle && !wanted.has(machine.name) && machine.noticeUntil === null) back.push(machine);
+    }
+    if (back.length > 0) void this.remove(back.slice(0, MAX_DELETE));
+  }
+}
--- /dev/null
+++ b/src/coordination/rounds.ts
@@ -0,0 +1,222 @@
+import type { Machine } from "../bookkeeping/machines.js";
+import { attemptOf, type Job, type Task } from "../bookkeeping/tasks.js";
+import { type JobSpec, PRIORITIES } from "../protocol/user.js";
+import { type Micros, seconds } from "../transport/clock.js";
+import { type BlockContext, firstToken } from "./context.js";
+import { assign, choose, fits, minus, plus, type Server, weight } from "./placement/bfgp.js";
+import type { Recorder } from "./recorder.js";
+
+export interface Candidate extends Server {
+  readonly machine: Machine;
+}
+
+const PREEMPT_PAUSE = seconds(3);
+/** Work is only stopped for a guarantee when room has not come up by itself. */
+const GUARANTEE_PATIENCE = seconds(3);
+
+export const rankOf = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
+
+/** May the job use such a machine at all? */
+export const allows = (spec: JobSpec, typeName: string, zone: string, spot: boolean): boolean =>
+  (spec.types === null || spec.types.includes(typeName)) &&
+  (spec.zone === null || spec.zone === zone) &&
+  (!spot || spec.spot);
+
+/** Zones of the job's tasks, wherever one may be; a machine known by name only has the zone "". */
+export const zoneCounts = (job: Job): Map<string, number> => {
+  const counts = new Map<string, number>();
+  for (const task of job.placed) {
+    const zone = task.on?.zone ?? "";
+    counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  }
+  return counts;
+};
+
+/** Given where the job's other tasks may be, can one more go to this zone? */
+export const zoneAllowed = (spec: JobSpec, counts: ReadonlyMap<string, number>, zone: string): boolean => {
+  const unknown = counts.get("") ?? 0;
+  if (spec.oneZone && [...counts].some(([other, count]) => count > 0 && other !== zone)) return false;
+  return !spec.spread || (counts.get(zone) ?? 0) + unknown < Math.ceil(spec.tasks / 2);
+};
+
+/** Placement rounds: what is waiting, in order, each on the machine that Algorithm 1 chooses. */
+export class Rounds {
+  constructor(
+    private readonly context: BlockContext,
+    private readonly recorder: Recorder,
+  ) {}
+
+  /** Machines that can take tasks now, with what is left on them. */
+  candidates(): Candidate[] {
+    const { block, clock, settings, options } = this.context;
+    const now = clock.now();
+    const heard = settings.workers.report * options.silentReports;
+    const list: Candidate[] = [];
+    for (const machine of block.machines.values()) {
+      const { type } = machine;
+      if (type === null || machine.state !== "up" || machine.drain !== null || machine.deleting) continue;
+      if (machine.noticeUntil !== null || machine.leaseOver || machine.strays.size > 0) continue;
+      if (machine.avoidUntil > now || now - machine.lastHeard > heard) continue;
+      if (machine.seenToken < firstToken(this.context.lease)) continue;
+      let free = type.capacity;
+      // Optimistic as in the paper: an image on its way counts as being there.
+      const images = new Set(machine.images.keys());
+      for (const task of machine.tasks) {
+        free = minus(free, task.job.spec.demand);
+        images.add(task.job.spec.image);
+      }
+      list.push({
+        name: machine.name,
+        capacity: type.capacity,
+        free,
+        busy: machine.tasks.size > 0,
+        images,
+        fetchGbPerS: type.fetchGbPerS,
+        machine,
+      });
+    }
+    return list;
+  }
+
+  /** Jobs with something to place now, most important and largest first. */
+  waiting(): Job[] {
+    const { block, clock } = this.context;
+    const now = clock.now();
+    const jobs: Job[] = [];
+    for (const job of block.jobs.values()) {
+      if (job.cancelled || job.ending || job.retryAfter > now) continue;
+      if (job.waiting.size === 0) block.openRange(job);
+      if (job.waiting.size > 0) jobs.push(job);
+    }
+    let reference = { cpu: 1, gpu: 0, ram: 1 };
+    for (const type of block.types().values()) if (type.capacity.cpu > reference.cpu) reference = type.capacity;
+    const keyed = jobs.map((job) => ({
+      job,
+      rank: rankOf(job.spec),
+      borrowed: block.withinGuarantee(job.spec) ? 0 : 1,
+      size: weight(job.spec.demand, reference),
+      due: job.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : job.seenAt + seconds(job.spec.deadlineS),
+    }));
+    keyed.sort(
+      (a, b) =>
+        a.rank - b.rank ||
+        a.borrowed - b.borrowed ||
+        b.size - a.size ||
+        a.due - b.due ||
+        a.job.seenAt - b.job.seenAt ||
+        (a.job.spec.id < b.job.spec.id ? -1 : 1),
+    );
+    return keyed.map((entry) => entry.job);
+  }
+
+  run(): void {
+    if (!this.context.lease.valid()) return;
+    const servers = this.candidates();
+    for (const job of this.waiting()) {
+      let left = this.place(job, servers);
+      while (left === "more") left = this.place(job, servers);
+      if (left !== null && left !== "limit") this.preempt(left, servers);
+    }
+  }
+
+  /** Places a job's waiting tasks. The first one for which there is no room, if any, comes back. */
+  private place(job: Job, servers: readonly Candidate[]): Task | "more" | "limit" | null {
+    const { block, clock, options } = this.context;
+    const { spec } = job;
+    const now = clock.now();
+    const allowed = servers.filter(({ machine }) => allows(spec, machine.typeName, machine.zone, machine.spot));
+    const counts = zoneCounts(job);
+    if (spec.oneZone && job.placed.size === 0) {
+      const zone = this.roomiest(job, allowed);
+      if (zone === null) return [...job.waiting][0] ?? null;
+      counts.set(zone, 0);
+      const inZone = allowed.filter(({ machine }) => machine.zone === zone);
+      allowed.splice(0, allowed.length, ...inZone);
+    }
+    const tasks = [...job.waiting].filter((task) => task.notBefore <= now).sort((a, b) => a.index - b.index);
+    for (const task of tasks) {
+      if (!block.withinLimit(spec)) return "limit";
+      const inZones = allowed.filter(({ machine }) => zoneAllowed(spec, counts, machine.zone));
+      const server = this.pick(spec, inZones, options.kappa);
+      if (server === null) return task;
+      assign(spec, server);
+      counts.set(server.machine.zone, (counts.get(server.machine.zone) ?? 0) + 1);
+      block.occupy(task, server.machine);
+      task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: server.name };
+      this.recorder.mark(task.range);
+    }
+    return job.waiting.size === 0 && block.openRange(job) ? "more" : null;
+  }
+
+  /**
+   * Work that may use spot machines goes there while one fits: the paper leaves the choice of S_i to the
+   * operator, and ordinary room is dearer and the only room for the rest.
+   */
+  private pick(spec: JobSpec, servers: readonly Candidate[], kappa: number): Candidate | null {
+    const spot = spec.spot ? servers.filter(({ machine }) => machine.spot) : [];
+    const first = spot.length > 0 ? choose(spec, spot, kappa) : null;
+    return first ?? choose(spec, servers, kappa);
+  }
+
+  private roomiest(job: Job, servers: readonly Candidate[]): string | null {
+    const room = new Map<string, number>();
+    for (const server of servers) {
+      let free = server.free;
+      let count = 0;
+      for (; fits(job.spec.demand, free) && count < job.spec.tasks; count += 1) free = minus(free, job.spec.demand);
+      room.set(server.machine.zone, (room.get(server.machine.zone) ?? 0) + count);
+    }
+    const best = [...room].sort((a, b) => b[1] - a[1])[0];
+    return best === undefined || best[1] === 0 ? null : best[0];
+  }
+
+  /** Stops the cheapest set of tasks on one machine that makes room for the task, where the rules allow it. */
+  private preempt(task: Task, servers: readonly Candidate[]): void {
+    const { clock, log } = this.context;
+    const { spec } = task.job;
+    const now = clock.now();
+    if (task.preemptAfter > now) return;
+    const counts = zoneCounts(task.job);
+    let best: { victims: Task[]; cost: number; server: Candidate } | null = null;
+    for (const server of servers) {
+      const { machine } = server;
+      if (!allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
+      if (!zoneAllowed(spec, counts, machine.zone)) continue;
+      const victims: Task[] = [];
+      let free = server.free;
+      let cost = 0;
+      const ran = (victim: Task): number => (victim.runningSince === null ? 0 : now - victim.runningSince);
+      const order = [...machine.tasks].filter((victim) => this.mayStop(task, victim)).sort((a, b) => ran(a) - ran(b));
+      for (const victim of order) {
+        if (fits(spec.demand, free)) break;
+        victims.push(victim);
+        free = plus(free, victim.job.spec.demand);
+        cost += ran(victim) + seconds(1);
+      }
+      if (victims.length > 0 && fits(spec.demand, free) && (best === null || cost < best.cost)) {
+        best = { victims, cost, server };
+      }
+    }
+    if (best === null) return;
+    task.preemptAfter = (now + PREEMPT_PAUSE) as Micros;
+    log.info("preempting", { task: task.name, machine: best.server.name, victims: best.victims.map((v) => v.name) });
+    for (const victim of best.victims) {
+      const { checkpointS, saveS } = victim.job.spec;
+      victim.stop = { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
+    }
+    // Their room is spoken for: nothing else of this round is to count on it.
+    best.server.free = minus(best.server.free, best.server.free);
+    this.context.wakeCommands(best.server.machine);
+  }
+
+  private mayStop(task: Task, victim: Task): boolean {
+    const { block, clock } = this.context;
+    if (victim.stop !== null || victim.launch.kind !== "seen" || victim.job.cancelled) return false;
+    if (rankOf(victim.job.spec) > rankOf(task.job.spec)) return true;
+    const other = victim.job.spec;
+    if (other.team === task.job.spec.team || clock.now() - task.waitingSince < GUARANTEE_PATIENCE) return false;
+    const guaranteed = this.context.settings.teams.get(other.team)?.guaranteed;
+    const beyond = guaranteed === undefined || block.teamUse(other.team).cpu > guaranteed.cpu;
+    return beyond && block.withinGuarantee(task.job.spec) && rankOf(other) >= rankOf(task.job.spec);
+  }
+}
--- /dev/null
+++ b/src/coordination/steward.ts
@@ -0,0 +1,290 @@
+import { Block } from "../bookkeeping/block.js";
+import { type Machine, newMachine } from "../bookkeeping/machines.js";
+import { CURRENT, jobOfKey, rangeOfKey, readJob, TYPES_KEY } from "../bookkeeping/records.js";
+import type { MachineType } from "../protocol/cloud.js";
+import type { Change } from "../protocol/state.js";
+import type { Report } from "../protocol/worker.js";
+import { type Micros, ms, seconds, type Timer } from "../transport/clock.js";
+import { describeError } from "../transport/log.js";
+import type { Cloud } from "./cloud.js";
+import { Commander } from "./commander.js";
+import { type BlockContext, type BlockLease, firstToken, type Services, tokenOf } from "./context.js";
+import { Observer } from "./observer.js";
+import { Recorder } from "./recorder.js";
+import { Rental } from "./rental.js";
+import { Rounds } from "./rounds.js";
+
+const TICK = ms(250);
+const ROUND_GAP = ms(10);
+/** Workers need this long to find a new holder; before, silence says nothing. */
+const SETTLE = seconds(12);
+const PROBE_TIME = seconds(1.7);
+const TYPES_PERIOD = seconds(30);
+/** So many bytes of a range's value a task may take: attempt, machine name and punctuation. */
+const BYTES_PER_TASK = 48;
+const MAX_RANGE = 128;
+
+export interface StewardAnswer {
+  readonly token: number;
+  readonly commands: ReturnType<Commander["standing"]>;
+}
+
+/** Acts for one block for as long as this process holds its lease. Everything in it dies with the lease. */
+export class Steward {
+  private readonly context: BlockContext;
+  private readonly observer: Observer;
+  private readonly recorder: Recorder;
+  private readonly commander: Commander;
+  private readonly rounds: Rounds;
+  private readonly rental: Rental;
+  private stopped = false;
+  private roundTimer: Timer | null = null;
+  private roundDue: Micros = 0 as Micros;
+  private lastRound: Micros = 0 as Micros;
+  /** When workers were last able to reach us without a gap. */
+  private settledFrom: Micros;
+  private wasValid = true;
+  private typesAt: Micros = 0 as Micros;
+
+  constructor(
+    private readonly services: Services,
+    private readonly lease: BlockLease,
+    private readonly cloud: Cloud,
+    private readonly types: Map<string, MachineType>,
+    onFenced: () => void,
+  ) {
+    const { clock, settings } = services;
+    const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.valueBytes / BYTES_PER_TASK)));
+    const block = new Block(clock, rangeSize, settings.teams, () => types);
+    this.settledFrom = (clock.now() + SETTLE) as Micros;
+    this.context = {
+      ...services,
+      block,
+      lease,
+      fenced: () => {
+        if (!this.stopped) onFenced();
+      },
+      wakeRound: () => this.wakeRound(ROUND_GAP),
+      wakeCommands: (machine) => this.wakeCommands(machine),
+    };
+    this.recorder = new Recorder(this.context);
+    this.observer = new Observer(this.context, this.recorder);
+    this.commander = new Commander(this.context, this.observer);
+    this.rounds = new Rounds(this.context, this.recorder);
+    this.rental = new Rental(this.context, cloud, this.rounds, this.observer);
+    this.restore();
+    this.tick();
+    this.wakeRound(ROUND_GAP);
+    void this.rental.run();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.rental.stop();
+    this.roundTimer?.cancel();
+  }
+
+  /** Null: nothing may be said in the block's name. */
+  report(report: Report): StewardAnswer | null {
+    const { block, clock } = this.context;
+    if (this.stopped || !this.lease.valid() || block.deleted.has(report.machine)) return null;
+    const machine = this.known(report);
+    const learnt = this.observer.observe(machine, report);
+    if (learnt === "stale") return null;
+    machine.leaseBase = clock.now();
+    machine.leaseOver = false;
+    if (learnt === "untrusted") void this.guard(this.commander.send(machine, true));
+    else this.wakeCommands(machine);
+    return {
+      token: tokenOf(this.lease, machine),
+      commands: learnt === "untrusted" ? [] : this.commander.standing(machine),
+    };
+  }
+
+  running(jobId: string): { done: number; running: number } | null {
+    const job = this.context.block.jobs.get(jobId);
+    if (job === undefined) return null;
+    return { done: job.done, running: [...job.placed].filter((task) => task.state === "running").length };
+  }
+
+  private known(report: Report): Machine {
+    const { block, clock, log } = this.context;
+    let machine = block.machines.get(report.machine);
+    if (machine === undefined) {
+      machine = newMachine(report.machine, report.type, null, report.zone, report.spot, clock.now());
+      block.machines.set(report.machine, machine);
+      log.info("machine reported", { machine: report.machine });
+    }
+    machine.type ??= this.types.get(report.type) ?? null;
+    if (machine.typeName === "") {
+      machine.typeName = report.type;
+      machine.zone = report.zone;
+      machine.spot = report.spot;
+    }
+    return machine;
+  }
+
+  // Picture -----------------------------------------------------------------------------------------------
+
+  private restore(): void {
+    const { view, log } = this.services;
+    const { block } = this.context;
+    const ranges: { id: string; range: number; key: string }[] = [];
+    for (const [key, entry] of view.entries) {
+      if (jobOfKey(key) !== null) this.jobChanged({ kind: "put", ...entry });
+      const range = rangeOfKey(key);
+      if (range !== null) ranges.push({ ...range, key });
+    }
+    ranges.sort((a, b) => a.range - b.range);
+    const orphans: string[] = [];
+    for (const { id, range, key } of ranges) {
+      const job = block.jobs.get(id);
+      const entry = view.entries.get(key);
+      if (entry === undefined) continue;
+      // Without a job it is a leftover of one that ended.
+      if (job === undefined) orphans.push(key);
+      else block.restoreRange(job, range, entry.version, entry.value, firstToken(this.lease) - 1);
+    }
+    this.recorder.sweep(orphans.filter((key) => key.startsWith(CURRENT)));
+    for (const job of block.jobs.values()) this.recorder.finish(job);
+    log.info("block taken", { block: this.lease.block, number: this.lease.number, jobs: block.jobs.size });
+  }
+
+  changed(change: Change): void {
+    if (!this.stopped && jobOfKey(change.key) !== null) this.jobChanged(change);
+  }
+
+  private jobChanged(change: Change): void {
+    const { block } = this.context;
+    const id = jobOfKey(change.key) ?? "";
+    if (change.kind === "delete") return;
+    const record = readJob(change.value);
+    if (record.block !== this.lease.block) return;
+    const known = block.jobs.get(id);
+    if (known === undefined) {
+      block.addJob(record.spec, change.version, record.cancelled);
+      this.rental.learn(record.spec);
+      this.wakeRound(0 as Micros);
+      return;
+    }
+    known.version = change.version;
+    if (!record.cancelled || known.cancelled) return;
+    known.cancelled = true;
+    this.services.log.info("job cancelled", { job: id });
+    for (const task of [...known.placed]) {
+      const machine = task.on;
+      if (task.launch.kind === "none") this.observer.gone(task);
+      if (machine !== null) this.wakeCommands(machine);
+    }
+    this.recorder.finish(known);
+  }
+
+  // Loops -------------------------------------------------------------------------------------------------
+
+  private guard(work: Promise<unknown>): Promise<void> {
+    return work.then(
+      () => undefined,
+      (error: unknown) => this.services.log.error("steward step failed", { error: describeError(error) }),
+    );
+  }
+
+  private wakeCommands(machine: Machine): void {
+    this.services.clock.after(0 as Micros, () => {
+      if (!this.stopped) void this.guard(this.commander.send(machine));
+    });
+  }
+
+  private wakeRound(delay: Micros): void {
+    if (this.stopped) return;
+    const { clock } = this.services;
+    const due = Math.max(clock.now() + delay, this.lastRound + ROUND_GAP) as Micros;
+    if (this.roundTimer !== null && this.roundDue <= due) return;
+    this.roundTimer?.cancel();
+    this.roundDue = due;
+    this.roundTimer = clock.after(Math.max(0, due - clock.now()) as Micros, () => {
+      this.roundTimer = null;
+      this.lastRound = clock.now();
+      try {
+        if (!this.stopped) this.rounds.run();
+      } catch (error) {
+        this.services.log.error("round failed", { error: describeError(error) });
+      }
+      this.wakeRound(ms(this.services.options.roundMs));
+    });
+  }
+
+  private tick(): void {
+    if (this.stopped) return;
+    const { clock, log } = this.services;
+    try {
+      const valid = this.lease.valid();
+      if (valid && !this.wasValid) this.settledFrom = (clock.now() + SETTLE) as Micros;
+      if (valid !== this.wasValid) log.info(valid ? "lease regained" : "lease run out", { block: this.lease.block });
+      this.wasValid = valid;
+      this.expire();
+      if (valid) {
+        this.silence();
+        for (const machine of this.context.block.machines.values()) this.commander.drain(machine);
+        this.refreshTypes();
+      }
+    } catch (error) {
+      log.error("tick failed", { error: describeError(error) });
+    }
+    clock.after(TICK, () => this.tick());
+  }
+
+  /** Past its lease a worker has ended everything, whether or not it can be heard. */
+  private expire(): void {
+    const { clock, settings } = this.services;
+    const span = Math.ceil(settings.workers.lease * 1.002) + seconds(0.5);
+    for (const machine of this.context.block.machines.values()) {
+      if (machine.leaseOver || clock.now() - machine.leaseBase <= span) continue;
+      machine.leaseOver = true;
+      // A message of the session that is over must not bring its tasks back into the picture.
+      if (machine.session !== null) machine.staleSession = machine.session;
+      this.observer.lost(machine, "worker lease over");
+    }
+  }
+
+  /** A machine that misses its reports is probed, and given up if it does not answer: the cloud's answer to the
+   * deletion is a far quicker proof that its tasks are gone than the end of its lease. */
+  private silence(): void {
+    const { clock, settings, options, log } = this.services;
+    const now = clock.now();
+    if (now < this.settledFrom) return;
+    const limit = settings.workers.report * options.silentReports;
+    const up = [...this.context.block.machines.values()].filter(
+      (machine) => machine.state === "up" && !machine.deleting,
+    );
+    const silent = up.filter((machine) => now - machine.lastHeard > limit);
+    for (const machine of silent) {
+      if (machine.probed < machine.lastHeard) {
+        machine.probed = now;
+        void this.guard(this.commander.send(machine, true));
+      }
+    }
+    const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
+    // When most are silent, the fault is more likely on our side.
+    if (dead.length === 0 || dead.length > Math.max(2, up.length * 0.6)) return;
+    log.info("machines silent", { machines: dead.map((machine) => machine.name) });
+    void this.guard(this.rental.remove(dead));
+  }
+
+  private refreshTypes(): void {
+    const { clock, view, committer, settings } = this.services;
+    if (this.typesAt !== 0 && clock.now() - this.typesAt < TYPES_PERIOD) return;
+    this.typesAt = clock.now();
+    const refresh = async (): Promise<void> => {
+      const reply = await this.cloud.types();
+      if (reply.kind !== "ok") return;
+      this.types.clear();
+      for (const type of reply.value.types) this.types.set(type.name, type);
+      this.wakeRound(ROUND_GAP);
+      const fits = JSON.stringify(reply.value.raw).length < settings.state.valueBytes;
+      if (view.entries.has(TYPES_KEY) || !fits) return;
+      // For controllers that start while the cloud cannot be asked.
+      await committer.propose(new Map([[TYPES_KEY, 0]]), [{ kind: "put", key: TYPES_KEY, value: reply.value.raw }]);
+    };
+    void this.guard(refresh());
+  }
+}
--- /dev/null
+++ b/src/protocol/user.ts
@@ -0,0 +1,131 @@
+import { asArray, asObject, type Fields, Malformed, orNull, readAmount, readBoolean, readString } from "./json.js";
+
+export type JobShape = "array" | "service";
+export const PRIORITIES = ["production", "high", "normal", "low"] as const;
+export type Priority = (typeof PRIORITIES)[number];
+
+/** What is known of a job for ever. Amounts are scaled: thousandths of a CPU, MiB-like thousandths of a GB. */
+export interface JobSpec {
+  readonly id: string;
+  readonly jobClass: string;
+  readonly team: string;
+  readonly shape: JobShape;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly demand: Demand;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+/** Whole thousandths, so that adding and subtracting leaves no rounding behind in a quota. */
+export interface Demand {
+  readonly cpu: number;
+  readonly gpu: number;
+  readonly ram: number;
+}
+
+/** Demands round up and capacities down, so scaling can never let a task in that does not fit. */
+export const demandOf = (cpus: number, gpus: number, ram: number): Demand => ({
+  cpu: Math.ceil(cpus * 1_000 - 1e-6),
+  gpu: Math.ceil(gpus * 1_000 - 1e-6),
+  ram: Math.ceil(ram * 1_000 - 1e-6),
+});
+
+export const capacityOf = (cpus: number, gpus: number, ram: number): Demand => ({
+  cpu: Math.floor(cpus * 1_000 + 1e-6),
+  gpu: Math.floor(gpus * 1_000 + 1e-6),
+  ram: Math.floor(ram * 1_000 + 1e-6),
+});
+
+export type JobPhase = "queued" | "running" | "done" | "cancelled";
+
+const WIRE_SHAPE: Readonly<Record<string, JobShape>> = { sweep: "array", daemon: "service" };
+const WIRE_PRIORITY: Readonly<Record<string, Priority>> = {
+  prod: "production",
+  high: "high",
+  normal: "normal",
+  best_effort: "low",
+};
+const WIRE_PHASE: Readonly<Record<JobPhase, string>> = {
+  queued: "pending",
+  running: "running",
+  done: "done",
+  cancelled: "withdrawn",
+};
+
+const JOB_ID = /^wk-[A-Za-z0-9_.-]{1,64}$/;
+const MAX_TASKS = 100_000;
+
+export const isJobId = (text: string): boolean => JOB_ID.test(text);
+
+const lookup = <T>(table: Readonly<Record<string, T>>, fields: Fields, name: string): T => {
+  const value = Object.hasOwn(table, readString(fields, name)) ? table[readString(fields, name)] : undefined;
+  if (value === undefined) throw new Malformed(`${name}: unknown value`);
+  return value;
+};
+
+const readName = (fields: Fields, name: string): string => {
+  const value = readString(fields, name);
+  if (value === "" || value.length > 200) throw new Malformed(`${name}: empty or too long`);
+  return value;
+};
+
+/** Throws Malformed on anything that the protocol calls missing or invalid. */
+export const readSubmission = (body: unknown): JobSpec => {
+  const fields = asObject(body, "job");
+  const id = readString(fields, "ref");
+  if (!isJobId(id)) throw new Malformed("ref: not a job id");
+  const tasks = readAmount(fields, "shards");
+  if (!Number.isInteger(tasks) || tasks < 1 || tasks > MAX_TASKS) throw new Malformed("shards: not a number of tasks");
+  const types = orNull(fields, "flavors", (f, name) =>
+    asArray(f[name], name).map((entry) => {
+      if (typeof entry !== "string") throw new Malformed("flavors: not names");
+      return entry;
+    }),
+  );
+  const demand = demandOf(
+    readAmount(fields, "cpus"),
+    orNull(fields, "accelerators", readAmount) ?? 0,
+    readAmount(fields, "ramGb"),
+  );
+  if (!Object.values(demand).every(Number.isSafeInteger)) throw new Malformed("cpus: out of range");
+  if (demand.cpu === 0 && demand.gpu === 0 && demand.ram === 0) throw new Malformed("cpus: nothing asked for");
+  return {
+    id,
+    jobClass: readName(fields, "jobclass"),
+    team: readName(fields, "owner"),
+    shape: lookup(WIRE_SHAPE, fields, "shape"),
+    priority: lookup(WIRE_PRIORITY, fields, "rank"),
+    tasks,
+    demand,
+    types,
+    zone: orNull(fields, "area", readString),
+    oneZone: readBoolean(fields, "together"),
+    spread: readBoolean(fields, "spread"),
+    spot: readBoolean(fields, "loaner"),
+    image: readName(fields, "bundle"),
+    imageGb: readAmount(fields, "sizeGb"),
+    estimateS: readAmount(fields, "guessS"),
+    checkpointS: readAmount(fields, "saveEveryS"),
+    saveS: readAmount(fields, "saveTakesS"),
+    deadlineS: orNull(fields, "dueS", readAmount),
+  };
+};
+
+export const phaseAnswer = (id: string, phase: JobPhase): Fields => ({ ref: id, phase: WIRE_PHASE[phase] });
+
+export const statusAnswer = (id: string, phase: JobPhase, done: number, running: number): Fields => ({
+  ref: id,
+  phase: WIRE_PHASE[phase],
+  done,
+  running,
+});
--- /dev/null
+++ b/src/settings/options.ts
@@ -0,0 +1,61 @@
+import { readFileSync } from "node:fs";
+import { SettingsError } from "./settings.js";
+
+/** The operators' own settings: JSON, checked against `optionsSchema`, all of them optional. */
+export interface Options {
+  /** Blocks of machines that are leased separately. */
+  readonly blocks: number;
+  /** Share of the candidates that stays on the shortlist (the paper's κ). */
+  readonly kappa: number;
+  /** Longest time between two placement rounds. */
+  readonly roundMs: number;
+  /** Free room kept for the next job, as a multiple of a usual job of each class. */
+  readonly headroom: number;
+  /** An empty machine beyond what is wanted goes back after this time. */
+  readonly idleReturnS: number;
+  /** Missed reports after which a machine is probed and then given up. */
+  readonly silentReports: number;
+}
+
+export const DEFAULT_OPTIONS: Options = {
+  blocks: 1,
+  kappa: 0.1,
+  roundMs: 1_000,
+  headroom: 1,
+  idleReturnS: 15,
+  silentReports: 2.2,
+};
+
+export const optionsSchema = {
+  $schema: "http://json-schema.org/draft-07/schema#",
+  title: "rainridge operators' settings",
+  type: "object",
+  additionalProperties: false,
+  properties: {
+    blocks: { type: "integer", minimum: 1, maximum: 64 },
+    kappa: { type: "number", exclusiveMinimum: 0, maximum: 1 },
+    roundMs: { type: "integer", minimum: 10, maximum: 60_000 },
+    headroom: { type: "number", minimum: 0, maximum: 20 },
+    idleReturnS: { type: "number", minimum: 0, maximum: 3_600 },
+    silentReports: { type: "number", minimum: 1.5, maximum: 100 },
+  },
+} as const;
+
+/** The schema compiler is only loaded where there is a file to check: a start must be quick. */
+export const loadOptions = async (file: string | null): Promise<Options> => {
+  if (file === null) return DEFAULT_OPTIONS;
+  let value: unknown;
+  try {
+    value = JSON.parse(readFileSync(file, "utf8"));
+  } catch (error) {
+    throw new SettingsError(`${file}: ${error instanceof SyntaxError ? "not JSON" : "cannot be read"}`);
+  }
+  const { Ajv } = await import("ajv");
+  const validate = new Ajv().compile<Partial<Options>>(optionsSchema);
+  if (!validate(value)) {
+    const first = validate.errors?.[0];
+    const name = first?.params.additionalProperty ?? "";
+    throw new SettingsError(`${file}: ${first?.instancePath || "/"}${name} ${first?.message ?? "invalid"}`);
+  }
+  return { ...DEFAULT_OPTIONS, ...value };
+};
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,212 @@
+import { readFileSync } from "node:fs";
+import { parse } from "smol-toml";
+import { capacityOf, type Demand } from "../protocol/user.js";
+import { type Micros, seconds } from "../transport/clock.js";
+
+export interface Sibling {
+  readonly label: string;
+  readonly zone: string;
+  readonly address: string;
+}
+
+export interface Team {
+  readonly name: string;
+  readonly guaranteed: Demand;
+  /** Null: no limit. Memory is never limited by a team. */
+  readonly limit: { readonly cpu: number | null; readonly gpu: number | null };
+}
+
+/** What the users expect of a class, as far as the scheduler makes use of it. */
+export interface Objective {
+  readonly kind: string;
+  readonly jobClass: string | null;
+  readonly within: Micros | null;
+  readonly share: number;
+}
+
+export interface Settings {
+  readonly label: string;
+  readonly zone: string;
+  readonly clientListen: string;
+  readonly meshListen: string;
+  readonly siblings: readonly Sibling[];
+  readonly cloudAddress: string;
+  readonly stateAddress: string;
+  readonly controllers: number;
+  readonly zones: readonly string[];
+  readonly teams: ReadonlyMap<string, Team>;
+  readonly objectives: readonly Objective[];
+  readonly workers: { readonly report: Micros; readonly lease: Micros; readonly cancel: Micros };
+  readonly state: {
+    readonly rps: number;
+    readonly writeRps: number;
+    readonly valueBytes: number;
+    readonly transactionWrites: number;
+  };
+  readonly cloud: { readonly rps: number; readonly listLag: Micros };
+  readonly quota: { readonly memoryMb: number; readonly maxConnections: number };
+}
+
+/** Message is one line naming the field. */
+export class SettingsError extends Error {}
+
+type Table = Readonly<Record<string, unknown>>;
+
+const fail = (path: string, what: string): never => {
+  throw new SettingsError(`${path}: ${what}`);
+};
+
+const table = (parent: Table, path: string, name: string): Table => {
+  const value = parent[name];
+  if (typeof value !== "object" || value === null || Array.isArray(value))
+    return fail(path + name, "missing or not a table");
+  return value as Table;
+};
+
+const list = (parent: Table, path: string, name: string): readonly unknown[] => {
+  const value = parent[name] ?? [];
+  return Array.isArray(value) ? value : fail(path + name, "not a list");
+};
+
+const text = (parent: Table, path: string, name: string): string => {
+  const value = parent[name];
+  return typeof value === "string" && value !== "" ? value : fail(path + name, "missing or not a string");
+};
+
+const endpoint = (parent: Table, path: string, name: string): string => {
+  const value = text(parent, path, name);
+  const port = Number(/^\d{1,3}(?:\.\d{1,3}){3}:(\d{1,5})$/.exec(value)?.[1] ?? Number.NaN);
+  return port > 0 && port < 65_536 ? value : fail(path + name, "not an address like 10.0.0.1:8080");
+};
+
+const number = (parent: Table, path: string, name: string, least: number): number => {
+  const value = parent[name];
+  const plain = typeof value === "bigint" ? Number(value) : value;
+  if (typeof plain !== "number" || !Number.isFinite(plain)) return fail(path + name, "missing or not a number");
+  return plain >= least ? plain : fail(path + name, `must be at least ${least}`);
+};
+
+const whole = (parent: Table, path: string, name: string): number => {
+  const value = number(parent, path, name, 1);
+  return Number.isInteger(value) ? value : fail(path + name, "not a whole number");
+};
+
+const optional = (parent: Table, path: string, name: string): number =>
+  parent[name] === undefined ? 0 : number(parent, path, name, 0);
+
+const asTable = (value: unknown, path: string): Table =>
+  typeof value === "object" && value !== null ? (value as Table) : fail(path, "not a table");
+
+const readTeam = (value: unknown, index: number): Team => {
+  const path = `deployment.teams[${index}].`;
+  const team = asTable(value, path);
+  const limit = (name: string): number | null => {
+    const most = optional(team, path, name);
+    return most === 0 ? null : Math.floor(most * 1_000 + 1e-6);
+  };
+  return {
+    name: text(team, path, "name"),
+    guaranteed: capacityOf(optional(team, path, "cpus"), optional(team, path, "gpus"), 0),
+    limit: { cpu: limit("cpus_max"), gpu: limit("gpus_max") },
+  };
+};
+
+const readObjective = (value: unknown, index: number): Objective => {
+  const path = `deployment.objectives[${index}].`;
+  const objective = asTable(value, path);
+  return {
+    kind: text(objective, path, "kind"),
+    jobClass: typeof objective.class === "string" ? objective.class : null,
+    within: typeof objective.within_s === "number" ? seconds(objective.within_s) : null,
+    share: typeof objective.share === "number" ? objective.share : 1,
+  };
+};
+
+export const parseSettings = (source: string): Settings => {
+  let root: Table;
+  try {
+    root = parse(source);
+  } catch (error) {
+    throw new SettingsError(`not TOML: ${String(error).split("\n")[0]}`);
+  }
+  const outside = table(root, "", "outside");
+  const deployment = table(root, "", "deployment");
+  const workers = table(deployment, "deployment.", "workers");
+  const state = table(deployment, "deployment.", "state");
+  const cloud = table(deployment, "deployment.", "cloud");
+  const quota = table(deployment, "deployment.", "quota");
+  const span = (parent: Table, path: string, name: string): Micros => seconds(number(parent, path, name, 0));
+  const settings: Settings = {
+    label: text(root, "", "label"),
+    zone: text(root, "", "area"),
+    clientListen: endpoint(root, "", "client_listen"),
+    meshListen: endpoint(root, "", "mesh_addr"),
+    siblings: list(root, "", "siblings").map((value, index) => {
+      const path = `siblings[${index}].`;
+      const sibling = asTable(value, path);
+      return {
+        label: text(sibling, path, "label"),
+        zone: text(sibling, path, "area"),
+        address: endpoint(sibling, path, "endpoint"),
+      };
+    }),
+    cloudAddress: endpoint(outside, "outside.", "cloud"),
+    stateAddress: endpoint(outside, "outside.", "state"),
+    controllers: whole(deployment, "deployment.", "count"),
+    zones: list(deployment, "deployment.", "zones").map((zone, index) =>
+      typeof zone === "string" ? zone : fail(`deployment.zones[${index}]`, "not a string"),
+    ),
+    teams: new Map(
+      list(deployment, "deployment.", "teams")
+        .map(readTeam)
+        .map((team) => [team.name, team]),
+    ),
+    objectives: list(deployment, "deployment.", "objectives").map(readObjective),
+    workers: {
+      report: span(workers, "deployment.workers.", "report_s"),
+      lease: span(workers, "deployment.workers.", "lease_s"),
+      cancel: span(workers, "deployment.workers.", "cancel_s"),
+    },
+    state: {
+      rps: number(state, "deployment.state.", "rps", 1),
+      writeRps: number(state, "deployment.state.", "write_rps", 1),
+      valueBytes: Math.floor(number(state, "deployment.state.", "value_kb", 1) * 1_024),
+      transactionWrites: whole(state, "deployment.state.", "txn_ops"),
+    },
+    cloud: {
+      rps: number(cloud, "deployment.cloud.", "rps", 0.1),
+      listLag: span(cloud, "deployment.cloud.", "list_lag_s"),
+    },
+    quota: {
+      memoryMb: number(quota, "deployment.quota.", "mem_mb", 1),
+      maxConnections: whole(quota, "deployment.quota.", "max_connections"),
+    },
+  };
+  if (settings.workers.report <= 0) fail("deployment.workers.report_s", "must be above 0");
+  blockLease(settings);
+  return settings;
+};
+
+export const loadSettings = (file: string): Settings => {
+  let source: string;
+  try {
+    source = readFileSync(file, "utf8");
+  } catch (error) {
+    throw new SettingsError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "cannot be read"}`);
+  }
+  return parseSettings(source);
+};
+
+const LEASE_MARGIN = seconds(4);
+const LONGEST = seconds(60);
+
+/**
+ * A controller cut off from the state service cannot learn of a cancellation. It may answer its workers until
+ * its lease is over, and they may run tasks for a worker lease longer: both together stay below `cancel_s`.
+ */
+export const blockLease = (settings: Settings): Micros => {
+  const { cancel, lease } = settings.workers;
+  const longest = cancel - Math.ceil(lease * 1.001) - LEASE_MARGIN;
+  if (longest < seconds(3)) return fail("deployment.workers.cancel_s", "leaves no time for a lease beyond lease_s");
+  return Math.min(longest, LONGEST) as Micros;
+};
--- /dev/null
+++ b/src/transport/http-server.ts
@@ -0,0 +1,122 @@
+import { createServer, type Server, type Socket } from "node:net";
+import type { Clock, Micros, Timer } from "./clock.js";
+import type { Handler, Response } from "./http.js";
+import { HttpError, HttpParser } from "./http-parser.js";
+
+export interface ServerLimits {
+  readonly maxConnections: number;
+  /** A connection on which a begun request does not get complete in this time is closed. */
+  readonly requestTimeout: Micros;
+  readonly idleTimeout: Micros;
+  /** Requests being worked on at once, over all connections; beyond it load is shed. */
+  readonly maxBusy: number;
+}
+
+const REASONS: Readonly<Record<number, string>> = {
+  200: "OK",
+  201: "Created",
+  400: "Bad Request",
+  404: "Not Found",
+  405: "Method Not Allowed",
+  413: "Content Too Large",
+  421: "Misdirected Request",
+  422: "Unprocessable Content",
+  431: "Request Header Fields Too Large",
+  500: "Internal Server Error",
+  501: "Not Implemented",
+  503: "Service Unavailable",
+  504: "Gateway Timeout",
+  505: "HTTP Version Not Supported",
+};
+
+const render = (response: Response, keepAlive: boolean): string => {
+  const retry = response.retryAfterS === undefined ? "" : `Retry-After: ${response.retryAfterS}\r\n`;
+  const connection = keepAlive ? "" : "Connection: close\r\n";
+  const length = Buffer.byteLength(response.body);
+  return `HTTP/1.1 ${response.status} ${REASONS[response.status] ?? "Status"}\r\nContent-Type: application/json\r\nContent-Length: ${length}\r\n${retry}${connection}\r\n${response.body}`;
+};
+
+export class HttpServer {
+  private readonly server: Server;
+  private busy = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly limits: ServerLimits,
+    private readonly handler: Handler,
+    private readonly onError: (error: unknown) => void,
+  ) {
+    this.server = createServer({ noDelay: true }, (socket) => this.serve(socket));
+    this.server.maxConnections = limits.maxConnections;
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, 1_024, () => {
+        this.server.removeListener("error", reject);
+        this.server.on("error", this.onError);
+        resolve();
+      });
+    });
+  }
+
+  private serve(socket: Socket): void {
+    const parser = new HttpParser("request", { headBytes: 16_384, bodyBytes: 65_536 });
+    let working = false;
+    let timer: Timer | null = null;
+    const arm = (delay: Micros): void => {
+      timer?.cancel();
+      timer = this.clock.after(delay, () => socket.destroy());
+    };
+    const fail = (error: unknown): void => {
+      const status = error instanceof HttpError ? error.status : 400;
+      socket.end(render({ status, body: '{"error":"malformed request"}' }, false));
+      arm(this.limits.requestTimeout);
+    };
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => timer?.cancel());
+    arm(this.limits.requestTimeout);
+    socket.on("data", (data: Buffer) => {
+      if (socket.writableEnded) return;
+      try {
+        const messages = parser.push(data);
+        const message = messages[0];
+        if (message === undefined) {
+          if (!working && !parser.idle) arm(this.limits.requestTimeout);
+          return;
+        }
+        // The protocol has no pipelining; answering out of turn would be worse than refusing.
+        if (working || messages.length > 1) throw new HttpError(400, "pipelined");
+        working = true;
+        timer?.cancel();
+        const [method, target] = message.start;
+        this.answer({ method, target, body: message.body.toString("utf8") })
+          .then((response) => {
+            working = false;
+            if (socket.destroyed || socket.writableEnded) return;
+            const keep = message.keepAlive && response.close !== true;
+            if (keep) socket.write(render(response, true));
+            else socket.end(render(response, false));
+            arm(keep ? this.limits.idleTimeout : this.limits.requestTimeout);
+          })
+          .catch(this.onError);
+      } catch (error) {
+        fail(error);
+      }
+    });
+  }
+
+  private async answer(request: Parameters<Handler>[0]): Promise<Response> {
+    if (this.busy >= this.limits.maxBusy) return { status: 503, body: '{"error":"overloaded"}', retryAfterS: 1 };
+    this.busy += 1;
+    try {
+      return await this.handler(request);
+    } catch (error) {
+      this.onError(error);
+      return { status: 500, body: '{"error":"internal"}' };
+    } finally {
+      this.busy -= 1;
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/http.ts
@@ -0,0 +1,32 @@
+import type { Micros } from "./clock.js";
+
+export interface Request {
+  readonly method: string;
+  /** Path with the query still attached, as it stood in the request line. */
+  readonly target: string;
+  readonly body: string;
+}
+
+export interface Response {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfterS?: number;
+  /** Closes the connection once the response is out. */
+  readonly close?: boolean;
+}
+
+export type Handler = (request: Request) => Promise<Response>;
+
+/**
+ * `unsent`: the other side cannot have seen any of it.
+ * `lost`: it may have been executed, or may yet be.
+ */
+export type Outcome =
+  | { readonly kind: "answer"; readonly status: number; readonly body: string; readonly retryAfterS: number | null }
+  | { readonly kind: "unsent" }
+  | { readonly kind: "lost" };
+
+/** How the layers above reach other hosts; a simulated network implements it in the tests. */
+export interface HttpClient {
+  call(address: string, request: Request, timeout: Micros): Promise<Outcome>;
+}
--- /dev/null
+++ b/src/transport/pino-log.ts
@@ -0,0 +1,17 @@
+import { destination, pino } from "pino";
+import type { Log } from "./log.js";
+
+const LEVELS = ["error", "info", "debug"];
+
+/** One JSON line an event on standard error, written at once: a killed process leaves its last words. */
+export const createLog = (label: string, level: string | undefined): Log => {
+  const logger = pino(
+    { level: level !== undefined && LEVELS.includes(level) ? level : "info", base: { node: label }, timestamp: false },
+    destination({ dest: 2, sync: true }),
+  );
+  return {
+    error: (event, fields) => logger.error(fields ?? {}, event),
+    info: (event, fields) => logger.info(fields ?? {}, event),
+    debug: (event, fields) => logger.debug(fields ?? {}, event),
+  };
+};
--- /dev/null
+++ b/test/http-parser.test.ts
@@ -0,0 +1,70 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { HttpError, HttpParser, type Message } from "../src/transport/http-parser.js";
+
+const LIMITS = { headBytes: 1_024, bodyBytes: 4_096 };
+const parse = (text: string, kind: "request" | "response" = "request"): Message[] =>
+  new HttpParser(kind, LIMITS).push(Buffer.from(text));
+const shape = (message: Message | undefined): unknown =>
+  message && [message.start, [...message.headers], message.body.toString(), message.keepAlive];
+
+const refused = (text: string, status: number, kind: "request" | "response" = "request"): void => {
+  assert.throws(
+    () => parse(text, kind),
+    (error) => error instanceof HttpError && error.status === status,
+    JSON.stringify(text),
+  );
+};
+
+test("every split of a request gives the same message", () => {
+  const texts = [
+    'POST /v2/runs HTTP/1.1\r\nHost: a\r\nContent-Length: 7\r\n\r\n{"a":1}',
+    "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: u\r\n\r\n",
+    "GET /up HTTP/1.1\r\nConnection: close\r\n\r\n",
+  ];
+  for (const text of texts) {
+    const whole = shape(parse(text)[0]);
+    assert.ok(whole);
+    for (let first = 0; first <= text.length; first += 1) {
+      for (let second = first; second <= text.length; second += 1) {
+        const parser = new HttpParser("request", LIMITS);
+        const out = [text.slice(0, first), text.slice(first, second), text.slice(second)].flatMap((part) =>
+          part === "" ? [] : parser.push(Buffer.from(part)),
+        );
+        assert.equal(out.length, 1);
+        assert.deepEqual(shape(out[0]), whole);
+        assert.ok(parser.idle);
+      }
+    }
+  }
+});
+
+test("keep-alive follows version and header", () => {
+  assert.equal(parse("GET / HTTP/1.1\r\n\r\n")[0]?.keepAlive, true);
+  assert.equal(parse("GET / HTTP/1.1\r\nConnection: Close\r\n\r\n")[0]?.keepAlive, false);
+  assert.equal(parse("GET / HTTP/1.0\r\n\r\n")[0]?.keepAlive, false);
+});
+
+test("what breaks the framing is refused with its status", () => {
+  refused("GET\r\n\r\n", 400);
+  refused("GET / HTTP/2.0\r\n\r\n", 505);
+  refused("GET x HTTP/1.1\r\n\r\n", 400);
+  refused("G T / HTTP/1.1\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nbad header\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nA : b\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400);
+  refused("GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501);
+  refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400);
+  refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", 400);
+  refused("HTTP/1.1 2000 x\r\n\r\n", 400, "response");
+  refused("HTTP/1.1 200 OK\r\n\r\n", 502, "response");
+});
+
+test("head and body are bounded", () => {
+  refused("POST / HTTP/1.1\r\nContent-Length: 4097\r\n\r\n", 413);
+  refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n".replace("fff", "1001"), 413);
+  refused(`GET /${"a".repeat(2_000)}`, 431);
+  refused(`GET / HTTP/1.1\r\n${"A: b\r\n".repeat(65)}\r\n`, 431);
+});
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { assign, type Component, choose, type Server, shortlist, weight } from "../src/coordination/placement/bfgp.js";
+import { forSeeds, type Random } from "./random.js";
+
+const IMAGES = ["a", "b", "c"];
+
+const randomServers = (random: Random): Server[] =>
+  Array.from({ length: random.int(1, 12) }, (_, at) => {
+    const cpu = random.pick([4, 16, 32]) * 1_000;
+    const used = random.int(0, cpu / 1_000) * 1_000;
+    return {
+      name: `m${at}`,
+      capacity: { cpu, gpu: 0, ram: cpu * 4 },
+      free: { cpu: cpu - used, gpu: 0, ram: cpu * 4 - random.int(0, used / 1_000) * 1_000 },
+      busy: used > 0,
+      images: new Set(IMAGES.filter(() => random.chance(0.4))),
+      fetchGbPerS: random.pick([0.4, 1]),
+    };
+  });
+
+const randomComponent = (random: Random): Component => ({
+  demand: { cpu: random.int(1, 8) * 1_000, gpu: 0, ram: random.int(1, 20) * 1_000 },
+  image: random.pick(IMAGES),
+  imageGb: random.int(1, 30) / 10,
+});
+
+/** The paper's Algorithms 1 and 2 read line by line, with no regard to cost. */
+const literal = (component: Component, servers: readonly Server[], kappa: number): Server | null => {
+  const heaviside = (x: number): number => (x >= 0 ? 1 : 0);
+  const left = (s: Server): number => Math.min(1, s.free.cpu / s.capacity.cpu, s.free.ram / s.capacity.ram);
+  const better = (a: Server, b: Server): boolean => {
+    const p = (s: Server): number[] => [
+      heaviside(s.free.cpu - component.demand.cpu) * heaviside(s.free.ram - component.demand.ram),
+      s.busy ? 1 : 0,
+      -left(s),
+      -servers.indexOf(s),
+    ];
+    const [x, y] = [p(a), p(b)];
+    for (let at = 0; at < x.length; at += 1) if (x[at] !== y[at]) return (x[at] ?? 0) > (y[at] ?? 0);
+    return false;
+  };
+  const k = Math.max(1, Math.floor(kappa * servers.length));
+  const top: Server[] = [];
+  while (top.length < k) {
+    let next: Server | null = null;
+    for (const s of servers) if (!top.includes(s) && (next === null || better(s, next))) next = s;
+    if (next === null) break;
+    top.push(next);
+  }
+  let chosen: Server | null = null;
+  let least: [number, number] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
+  for (const s of top) {
+    const over =
+      Math.max(0, component.demand.cpu - s.free.cpu) / s.capacity.cpu +
+      Math.max(0, component.demand.ram - s.free.ram) / s.capacity.ram;
+    const bytes = s.images.has(component.image) ? 0 : component.imageGb / s.fetchGbPerS;
+    if (over < least[0] || (over === least[0] && bytes < least[1])) {
+      chosen = s;
+      least = [over, bytes];
+    }
+  }
+  return least[0] === 0 ? chosen : null;
+};
+
+test("placement agrees with a literal reading of Algorithms 1 and 2", () => {
+  forSeeds(400, (random) => {
+    const servers = randomServers(random);
+    const kappa = random.pick([0.1, 0.3, 0.5, 1]);
+    for (let step = 0; step < 12; step += 1) {
+      const component = randomComponent(random);
+      const expected = literal(component, servers, kappa);
+      const chosen = choose(component, servers, kappa);
+      assert.equal(chosen?.name, expected?.name);
+      if (chosen === null) continue;
+      assign(component, chosen);
+      assert.ok(chosen.busy && chosen.images.has(component.image));
+      assert.ok(chosen.free.cpu >= 0 && chosen.free.ram >= 0, "a task overflowed its machine");
+    }
+  });
+});
+
+test("the shortlist keeps at least one and at most the top share", () => {
+  forSeeds(50, (random) => {
+    const servers = randomServers(random);
+    const { demand } = randomComponent(random);
+    assert.equal(shortlist(demand, servers, 0.1).length, Math.max(1, Math.floor(servers.length * 0.1)));
+    assert.equal(shortlist(demand, servers, 1).length, servers.length);
+  });
+});
+
+test("the weight of a demand is its largest share", () => {
+  const reference = { cpu: 32_000, gpu: 0, ram: 64_000 };
+  assert.equal(weight({ cpu: 4_000, gpu: 0, ram: 32_000 }, reference), 0.5);
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { DEFAULT_OPTIONS, loadOptions } from "../src/settings/options.js";
+import { blockLease, parseSettings, SettingsError } from "../src/settings/settings.js";
+import { settingsText } from "./fixtures.js";
+
+const refused = (text: string, field: string): void => {
+  assert.throws(
+    () => parseSettings(text),
+    (error) => error instanceof SettingsError && error.message.includes(field) && !error.message.includes("\n"),
+    field,
+  );
+};
+
+test("settings are read, unknown fields ignored", () => {
+  const settings = parseSettings(`colour = "blue"\n${settingsText()}\n[deployment.moon]\nphase = 1\n`);
+  assert.equal(settings.label, "ctl-0");
+  assert.equal(settings.teams.get("capped")?.limit.cpu, 16_000);
+  assert.equal(settings.teams.get("open")?.limit.cpu, null);
+});
+
+test("a missing or invalid field is named in one line", () => {
+  const good = settingsText();
+  refused(good.replace(/^label.*$/m, ""), "label");
+  refused(good.replace(/^client_listen.*$/m, 'client_listen = "somewhere"'), "client_listen");
+  refused(good.replace(/^report_s.*$/m, 'report_s = "often"'), "deployment.workers.report_s");
+  refused(good.replace(/^txn_ops.*$/m, "txn_ops = 0"), "deployment.state.txn_ops");
+  refused(good.replace(/^cancel_s.*$/m, "cancel_s = 12.0"), "cancel_s");
+  refused("label = ", "TOML");
+});
+
+test("block lease and worker lease together stay below the time a cancellation has", () => {
+  for (const [lease, cancel] of [
+    [36, 66],
+    [22, 52],
+    [10, 300],
+    [5, 13],
+  ] as const) {
+    const settings = parseSettings(
+      settingsText()
+        .replace(/^lease_s.*$/m, `lease_s = ${lease}.0`)
+        .replace(/^cancel_s.*$/m, `cancel_s = ${cancel}.0`),
+    );
+    assert.ok(blockLease(settings) + settings.workers.lease * 1.001 + 3_000_000 < settings.workers.cancel);
+  }
+});
+
+test("the operators' settings are optional and checked against the schema", async () => {
+  assert.deepEqual(await loadOptions(null), DEFAULT_OPTIONS);
+  const file = join(mkdtempSync(join(tmpdir(), "rainridge-")), "options.json");
+  writeFileSync(file, '{"kappa":0.5}');
+  assert.deepEqual(await loadOptions(file), { ...DEFAULT_OPTIONS, kappa: 0.5 });
+  for (const [text, word] of [
+    ['{"kappa":2}', "kappa"],
+    ['{"capa":1}', "capa"],
+    ["{", "JSON"],
+  ] as const) {
+    writeFileSync(file, text);
+    await assert.rejects(loadOptions(file), (error) => error instanceof SettingsError && error.message.includes(word));
+  }
+});
