--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -6,6 +6,11 @@
  * jobs that ever ended; those have their last word below `e/`, one key a job, for ever.
  */
 export const CURRENT = "c/";
+/**
+ * Blocks of machines that are leased separately. One holds all of a deployment of some tens of machines: cut in
+ * three, the room kept standing for the next job would be needed three times over.
+ */
+export const BLOCKS = 1;
 export const LEADER_KEY = "c/leader";
 export const NUMBER_KEY = "c/number";
 export const TYPES_KEY = "c/types";
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -113,7 +113,7 @@
   private blockOf(machine: string): number {
     let hash = 0;
     for (const char of machine) hash = (hash * 31 + char.charCodeAt(0)) % 1_000_003;
-    return hash % this.services.options.blocks;
+    return hash % BLOCKS;
   }
 
   private take(lease: BlockLease): void {
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -78,7 +78,7 @@
     const never = this.canNeverRun(spec);
     if (never !== null) return answer(422, { error: never });
     if (committer.backlog > MAX_BACKLOG) return comeBack("busy");
-    const record: JobRecord = { spec, block: this.homeOf(spec, options.blocks), cancelled: false };
+    const record: JobRecord = { spec, block: this.homeOf(spec, BLOCKS), cancelled: false };
     const key = jobKey(spec.id);
     const result = await committer.propose(
       new Map([
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -110,7 +110,7 @@
   /** The difference between the blocks on record and the ones acted for. */
   private consider(): void {
     const { view, options } = this.services;
-    for (let block = 0; block < options.blocks; block += 1) {
+    for (let block = 0; block < BLOCKS; block += 1) {
       const entry = view.entries.get(blockKey(block));
       const record = entry === undefined ? null : readBlock(entry.value);
       const mine = record !== null && record.incarnation === this.incarnation && this.grant !== null;
@@ -178,7 +178,7 @@
 
   private async leaseBlocks(leader: Entry): Promise<void> {
     const { store, view, options, log } = this.services;
-    for (let block = 0; block < options.blocks; block += 1) {
+    for (let block = 0; block < BLOCKS; block += 1) {
       const key = blockKey(block);
       if (view.entries.has(key)) continue;
       const member = this.chooseHolder();
@@ -209,7 +209,7 @@
   private chooseHolder(): Entry | null {
     const { view, options, settings } = this.services;
     const count = new Map<string, number>();
-    for (let block = 0; block < options.blocks; block += 1) {
+    for (let block = 0; block < BLOCKS; block += 1) {
       const label = this.holder(block);
       if (label !== null) count.set(label, (count.get(label) ?? 0) + 1);
     }
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -3,8 +3,6 @@
 
 /** The operators' own settings: JSON, checked against `optionsSchema`, all of them optional. */
 export interface Options {
-  /** Blocks of machines that are leased separately. */
-  readonly blocks: number;
   /** Share of the candidates that stays on the shortlist (the paper's κ). */
   readonly kappa: number;
   /** Longest time between two placement rounds. */
@@ -18,7 +16,6 @@
 }
 
 export const DEFAULT_OPTIONS: Options = {
-  blocks: 1,
   kappa: 0.1,
   roundMs: 1_000,
   headroom: 1,
@@ -32,7 +29,6 @@
   type: "object",
   additionalProperties: false,
   properties: {
-    blocks: { type: "integer", minimum: 1, maximum: 64 },
     kappa: { type: "number", exclusiveMinimum: 0, maximum: 1 },
     roundMs: { type: "integer", minimum: 10, maximum: 60_000 },
     headroom: { type: "number", minimum: 0, maximum: 20 },
--- /dev/null
+++ b/test/sim/checker.ts
@@ -0,0 +1,208 @@
+/** The truth about jobs, machines and what users were told; knows nothing of what the controllers think. */
+export interface TrueJob {
+  readonly id: string;
+  readonly team: string;
+  readonly service: boolean;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly together: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+}
+
+export interface TrueMachine {
+  readonly name: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+export type Rule =
+  | "ran_twice"
+  | "quota"
+  | "wrong_place"
+  | "ran_cancelled"
+  | "forgotten"
+  | "invented"
+  | "not_done"
+  | "went_back";
+
+export class BrokenRule extends Error {
+  constructor(
+    readonly rule: Rule,
+    detail: string,
+  ) {
+    super(`${rule}: ${detail}`);
+  }
+}
+
+interface Told {
+  accepted: boolean;
+  final: "done" | "withdrawn" | null;
+  cancelAsked: boolean;
+  cancelledAt: number | null;
+  lastGood: number;
+}
+
+/** Checks the rules of the protocol on every event; throws at the first that is broken. */
+export class Checker {
+  readonly jobs = new Map<string, TrueJob>();
+  private readonly told = new Map<string, Told>();
+  /** By task, where it is: from having its image until it exits, is killed or the machine is gone. */
+  private readonly on = new Map<string, Set<TrueMachine>>();
+  readonly finished = new Map<string, Set<string>>();
+  private readonly polls: { at: number; good: boolean; job: string }[] = [];
+  starts = 0;
+
+  constructor(
+    private readonly now: () => number,
+    private readonly limits: ReadonlyMap<string, number>,
+    private readonly cancelUs: number,
+  ) {}
+
+  private state(id: string): Told {
+    const known = this.told.get(id) ?? {
+      accepted: false,
+      final: null,
+      cancelAsked: false,
+      cancelledAt: null,
+      lastGood: this.now(),
+    };
+    this.told.set(id, known);
+    return known;
+  }
+
+  taskOn(task: string, machine: TrueMachine): void {
+    const id = task.slice(0, task.lastIndexOf("/"));
+    const job = this.jobs.get(id);
+    if (job === undefined) throw new Error(`no such job ${id}`);
+    this.starts += 1;
+    const places = this.on.get(task) ?? new Set();
+    if (places.size > 0) throw new BrokenRule("ran_twice", `${task} on ${machine.name} and ${[...places][0]?.name}`);
+    this.place(job, machine);
+    places.add(machine);
+    this.on.set(task, places);
+    const limit = this.limits.get(job.team);
+    if (limit !== undefined && this.used(job.team) > limit) throw new BrokenRule("quota", `${job.team} with ${task}`);
+    const { cancelledAt } = this.state(id);
+    if (cancelledAt !== null && this.now() > cancelledAt + this.cancelUs) throw new BrokenRule("ran_cancelled", task);
+  }
+
+  taskOff(task: string, machine: TrueMachine): void {
+    const places = this.on.get(task);
+    places?.delete(machine);
+    if (places?.size === 0) this.on.delete(task);
+  }
+
+  taskDone(task: string): void {
+    const id = task.slice(0, task.lastIndexOf("/"));
+    const done = this.finished.get(id) ?? new Set();
+    done.add(task);
+    this.finished.set(id, done);
+  }
+
+  isOn(task: string): boolean {
+    return this.on.has(task);
+  }
+
+  private used(team: string): number {
+    let sum = 0;
+    for (const [task, places] of this.on) {
+      const job = this.jobs.get(task.slice(0, task.lastIndexOf("/")));
+      if (job?.team === team) sum += job.cpus * places.size;
+    }
+    return sum;
+  }
+
+  private place(job: TrueJob, machine: TrueMachine): void {
+    const wrong = (why: string): never => {
+      throw new BrokenRule("wrong_place", `${job.id} on ${machine.name}: ${why}`);
+    };
+    if (job.types !== null && !job.types.includes(machine.type)) wrong("type");
+    if (job.zone !== null && job.zone !== machine.zone) wrong("zone");
+    if (machine.spot && !job.spot) wrong("spot");
+    let here = 1;
+    for (const [task, places] of this.on) {
+      if (task.slice(0, task.lastIndexOf("/")) !== job.id) continue;
+      for (const place of places) {
+        if (place.zone === machine.zone) here += 1;
+        else if (job.together) wrong("together");
+      }
+    }
+    if (job.spread && here > Math.ceil(job.tasks / 2)) wrong("spread");
+  }
+
+  /** Time may break a rule, too. */
+  tick(): void {
+    for (const [id, told] of this.told) {
+      if (told.cancelledAt === null || this.now() <= told.cancelledAt + this.cancelUs) continue;
+      for (const task of this.on.keys()) {
+        if (task.startsWith(`${id}/`)) throw new BrokenRule("ran_cancelled", task);
+      }
+    }
+  }
+
+  submitted(id: string, status: number, phase: string | null): void {
+    const told = this.state(id);
+    if (told.accepted && (status === 400 || status === 422)) throw new BrokenRule("forgotten", `${id}: ${status}`);
+    if (status !== 200 && status !== 201) return;
+    told.accepted = true;
+    told.lastGood = this.now();
+    if (phase !== null) this.phase(id, told, phase);
+  }
+
+  cancelAsked(id: string): void {
+    this.state(id).cancelAsked = true;
+  }
+
+  cancelAnswered(id: string, status: number, phase: string | null): void {
+    const told = this.state(id);
+    if (status === 404 && told.accepted) throw new BrokenRule("forgotten", `${id}: abort got 404`);
+    if (status === 200 && phase !== null) this.phase(id, told, phase);
+  }
+
+  polled(id: string, status: number | null, phase: string | null): void {
+    const told = this.state(id);
+    const now = this.now();
+    this.polls.push({ at: now, good: status === 200 || status === 404, job: id });
+    while ((this.polls[0]?.at ?? now) < now - 90_000_000) this.polls.shift();
+    if (status === 404 && told.accepted) throw new BrokenRule("forgotten", `${id}: 404`);
+    if (status === 200) {
+      if (!this.jobs.has(id)) throw new BrokenRule("invented", id);
+      told.lastGood = now;
+      if (phase !== null) this.phase(id, told, phase);
+    } else if (told.accepted && now - told.lastGood > 90_000_000) {
+      const others = this.polls.filter((poll) => poll.job !== id);
+      if (others.length > 10 && others.filter((poll) => poll.good).length > others.length / 2) {
+        throw new BrokenRule("forgotten", `${id}: no answer for 90 s`);
+      }
+    }
+  }
+
+  private phase(id: string, told: Told, phase: string): void {
+    if (told.final !== null && phase !== told.final)
+      throw new BrokenRule("went_back", `${id}: ${told.final} to ${phase}`);
+    if (phase === "withdrawn") {
+      if (!told.cancelAsked) throw new BrokenRule("went_back", `${id}: cancelled by nobody`);
+      told.cancelledAt ??= this.now();
+      told.final = phase;
+    }
+    if (phase === "done") {
+      const job = this.jobs.get(id);
+      if ((this.finished.get(id)?.size ?? 0) < (job?.tasks ?? 0) || job?.service === true) {
+        throw new BrokenRule("not_done", id);
+      }
+      told.final = phase;
+    }
+  }
+
+  accepted(): string[] {
+    return [...this.told].filter(([, told]) => told.accepted).map(([id]) => id);
+  }
+
+  finalOf(id: string): string | null {
+    return this.told.get(id)?.final ?? null;
+  }
+}
--- /dev/null
+++ b/test/sim/state-service.ts
@@ -0,0 +1,201 @@
+import type { Request, Response } from "../../src/transport/http.js";
+import type { Random } from "../random.js";
+import { json, S, type World } from "./world.js";
+
+interface Item {
+  value: unknown;
+  stamp: number;
+  hold: number | null;
+}
+
+type Logged = { set: string; value: unknown; stamp: number } | { remove: string; stamp: number };
+
+/** Stand-in for the state service, with its limits and its unkind corners. */
+export class StateService {
+  private readonly items = new Map<string, Item>();
+  private epoch = 0;
+  private log: Logged[] = [];
+  private readonly holds = new Map<number, { ttl: number; until: number }>();
+  private nextHold = 1;
+  private waiters: { wake: () => boolean }[] = [];
+  private outageUntil = 0;
+  private readonly refusedFor = new Map<string, number>();
+  private requests = 0;
+  private writes = 0;
+  /** Share of transactions that are carried out, now or seconds later, without an answer. */
+  unanswered = 0;
+  readonly keep = 300;
+
+  constructor(
+    private readonly world: World,
+    private readonly random: Random,
+    private readonly limits: { rps: number; writeRps: number; txnOps: number; valueBytes: number },
+  ) {
+    this.second();
+  }
+
+  outage(forUs: number): void {
+    this.outageUntil = Math.max(this.outageUntil, this.world.now + forUs);
+    // Every lease has its full time again afterwards.
+    for (const hold of this.holds.values()) hold.until = this.outageUntil + hold.ttl;
+  }
+
+  /** A single node is refused for a while; its leases run on. */
+  refuse(from: string, forUs: number): void {
+    this.refusedFor.set(from, this.world.now + forUs);
+  }
+
+  value(key: string): unknown {
+    return this.items.get(key)?.value;
+  }
+
+  private second(): void {
+    this.requests = 0;
+    this.writes = 0;
+    for (const [id, hold] of this.holds) if (hold.until < this.world.now) this.end(id);
+    this.world.after(S / 10, () => this.tenth());
+  }
+
+  private tenth(): void {
+    this.requests = Math.max(0, this.requests - this.limits.rps / 10);
+    this.writes = Math.max(0, this.writes - this.limits.writeRps / 10);
+    for (const [id, hold] of this.holds) if (hold.until < this.world.now) this.end(id);
+    this.world.after(S / 10, () => this.tenth());
+  }
+
+  private end(id: number): void {
+    this.holds.delete(id);
+    const keys = [...this.items].filter(([, item]) => item.hold === id).map(([key]) => key);
+    if (keys.length === 0) return;
+    this.epoch += 1;
+    for (const key of keys) this.remove(key);
+    this.wake();
+  }
+
+  private remove(key: string): void {
+    if (!this.items.delete(key)) return;
+    this.log.push({ remove: key, stamp: this.epoch });
+  }
+
+  private wake(): void {
+    if (this.log.length > this.keep) this.log = this.log.slice(-this.keep);
+    this.waiters = this.waiters.filter((waiter) => !waiter.wake());
+  }
+
+  private down(from: string): boolean {
+    return this.outageUntil > this.world.now || (this.refusedFor.get(from) ?? 0) > this.world.now;
+  }
+
+  serve = async (request: Request, from: string): Promise<Response> => {
+    if (this.down(from)) return json(503, {});
+    this.requests += 1;
+    if (this.requests > this.limits.rps) return json(429, {});
+    const url = new URL(request.target, "http://s");
+    const path = url.pathname;
+    if (path === "/watch") return this.watch(url, from);
+    await new Promise<void>((resolve) => this.world.after(this.random.chance(0.01) ? 200_000 : 2_000, resolve));
+    if (request.method === "POST" && path === "/txn") return this.transaction(request.body, from);
+    if (path === "/kv") return this.list(url);
+    if (path.startsWith("/kv/")) return this.get(decodeURIComponent(path.slice(4)));
+    return this.grants(request, path);
+  };
+
+  private get(key: string): Response {
+    const item = this.items.get(key);
+    return item === undefined
+      ? json(404, { epoch: this.epoch })
+      : json(200, { k: key, value: item.value, stamp: item.stamp, ...(item.hold === null ? {} : { hold: item.hold }) });
+  }
+
+  private list(url: URL): Response {
+    const under = url.searchParams.get("under") ?? "";
+    const from = url.searchParams.get("from") ?? "";
+    const page = Math.min(1_000, Number(url.searchParams.get("page") ?? 1_000));
+    const keys = [...this.items.keys()].filter((key) => key.startsWith(under) && key > from).sort();
+    const entries = keys.slice(0, page).map((key) => ({ k: key, ...this.items.get(key) }));
+    return json(200, { entries, more: keys.length > page, epoch: this.epoch });
+  }
+
+  private async transaction(body: string, from: string): Promise<Response> {
+    if (this.random.chance(this.unanswered)) {
+      // Carried out now or much later, with nobody told.
+      const late = this.random.chance(0.5) ? 0 : this.random.int(0, 20 * S);
+      this.world.after(late, () => {
+        if (!this.down(from)) this.apply(body);
+      });
+      return new Promise(() => undefined);
+    }
+    return this.apply(body);
+  }
+
+  private apply(body: string): Response {
+    const { if: conditions, writes } = JSON.parse(body) as {
+      if: { k: string; stamp: number }[];
+      writes: ({ set: string; value: unknown; hold?: number } | { remove: string })[];
+    };
+    if (writes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) return json(400, {});
+    this.writes += writes.length;
+    if (this.writes > this.limits.writeRps) return json(429, {});
+    for (const write of writes) {
+      if (!("set" in write)) continue;
+      if (JSON.stringify(write.value).length > this.limits.valueBytes) return json(400, { error: "value too large" });
+      if (write.hold !== undefined && !this.holds.has(write.hold)) return json(400, { error: "no such lease" });
+    }
+    const failed = conditions.filter(({ k, stamp }) => (this.items.get(k)?.stamp ?? 0) !== stamp).map(({ k }) => k);
+    if (failed.length > 0) return json(409, { failed, epoch: this.epoch });
+    if (writes.length > 0) this.epoch += 1;
+    for (const write of writes) {
+      if ("set" in write) {
+        this.items.set(write.set, { value: write.value, stamp: this.epoch, hold: write.hold ?? null });
+        this.log.push({ set: write.set, value: write.value, stamp: this.epoch });
+      } else this.remove(write.remove);
+    }
+    this.wake();
+    return json(200, { epoch: this.epoch });
+  }
+
+  private grants(request: Request, path: string): Response {
+    if (path === "/grants") {
+      const ttl = (JSON.parse(request.body) as { ttlMs: number }).ttlMs * 1_000;
+      const id = this.nextHold++;
+      this.holds.set(id, { ttl, until: this.world.now + ttl });
+      return json(200, { hold: id });
+    }
+    const id = Number(/^\/grants\/(\d+)/.exec(path)?.[1]);
+    const hold = this.holds.get(id);
+    if (hold === undefined) return json(404, {});
+    if (request.method === "DELETE") this.end(id);
+    else hold.until = this.world.now + hold.ttl;
+    return json(200, { hold: id });
+  }
+
+  private watch(url: URL, from: string): Promise<Response> {
+    const under = url.searchParams.get("under") ?? "";
+    const since = Number(url.searchParams.get("from"));
+    const until = this.world.now + Number(url.searchParams.get("waitMs") ?? 0) * 1_000;
+    return new Promise((resolve) => {
+      const answer = (): boolean => {
+        if (this.down(from)) return false;
+        const oldest = this.log[0]?.stamp ?? 0;
+        if (since + 1 < oldest && this.log.length >= this.keep) {
+          resolve(json(410, {}));
+          return true;
+        }
+        const log = this.log.filter(
+          (entry) => entry.stamp > since && ("set" in entry ? entry.set : entry.remove).startsWith(under),
+        );
+        if (log.length === 0 && this.world.now < until) return false;
+        resolve(json(200, { epoch: this.epoch, log }));
+        return true;
+      };
+      if (answer()) return;
+      this.waiters.push({ wake: answer });
+      const poll = (): void => {
+        // In an outage it stays open, past its time.
+        if (this.down(from)) this.world.after(S / 2, poll);
+        else answer();
+      };
+      this.world.at(until, poll);
+    });
+  }
+}
