--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -109,6 +109,22 @@
     clock.after(RETRY, () => this.context.wakeCommands(machine));
   }
 
+  /** Asks a worker that has not reported here for its state; its answer renews nothing. */
+  async inquire(machine: Machine): Promise<void> {
+    const { http, lease, log } = this.context;
+    const { address } = machine;
+    if (address === null || !lease.valid()) return;
+    const outcome = await http.call(address, { method: "GET", target: "/status", body: "" }, TIMEOUT);
+    if (outcome.kind !== "answer" || outcome.status !== 200) return;
+    try {
+      const report = readReport(parseJson(outcome.body));
+      if (report.machine !== machine.name) return;
+      if (this.observer.observe(machine, report) === "untrusted") await this.send(machine, true);
+    } catch (error) {
+      log.error("malformed answer of a worker", { machine: machine.name, error: String(error) });
+    }
+  }
+
   /**
    * A command got lost on the way and may land minutes later, under this token. From now on the machine is
    * spoken to under a higher one; a report that shows it proves the lost command dead.
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -43,6 +43,8 @@
   /** Room or work has appeared. */
   wakeRound(): void;
   wakeCommands(machine: Machine): void;
+  /** The machine ought to be up, but nothing has been heard of it here. */
+  inquire(machine: Machine): void;
 }
 
 const FENCES = 65_536;
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -17,7 +17,8 @@
 import type { BlockLease, Services } from "./context.js";
 
 const RENEWALS = 12;
-const RETRY = ms(300);
+const RETRY = ms(100);
+const LOAD_POLL = ms(10);
 /** Steady clocks drift by half a thousandth at most; the rest is for slow timers. */
 const MARGIN = seconds(0.5);
 
@@ -41,6 +42,7 @@
   private readonly held = new Map<number, BlockLease>();
   private readonly ttl: Micros;
   private acting = false;
+  private actAgain = false;
 
   constructor(
     private readonly services: Services,
@@ -77,7 +79,7 @@
 
   private async join(): Promise<void> {
     const { store, view, settings, log } = this.services;
-    if (!view.loaded) return;
+    while (!view.loaded) await sleep(this.clock, LOAD_POLL);
     const key = memberKey(settings.label);
     const old = await store.get(key);
     if (old.kind !== "ok" && old.kind !== "missing") return;
@@ -147,10 +149,16 @@
   /** As a leader, lease out what nobody holds; without one, try to become it. */
   private async lead(): Promise<void> {
     const { view, settings, log } = this.services;
-    if (this.acting || this.grant === null || !view.loaded) return;
+    if (this.acting) {
+      // What changes meanwhile must not wait for the next renewal.
+      this.actAgain = true;
+      return;
+    }
+    if (this.grant === null || !view.loaded) return;
     const me = view.entries.get(memberKey(settings.label));
     if (me === undefined || readMember(me.value).incarnation !== this.incarnation) return;
     this.acting = true;
+    this.actAgain = false;
     try {
       const leader = view.entries.get(LEADER_KEY);
       if (leader === undefined) await this.elect(me, this.grant);
@@ -161,6 +169,7 @@
     } finally {
       this.acting = false;
     }
+    if (this.actAgain) await this.lead();
   }
 
   private async elect(me: Entry, grant: Grant): Promise<void> {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -16,8 +16,8 @@
 
 const TICK = ms(250);
 const ROUND_GAP = ms(10);
-/** Workers need this long to find a new holder; before, silence says nothing. */
-const SETTLE = seconds(12);
+/** Time to ask all machines for their state after a handover; before, silence says nothing. */
+const SETTLE = seconds(5);
 const PROBE_TIME = seconds(1.7);
 const TYPES_PERIOD = seconds(30);
 /** So many bytes of a range's value a task may take: attempt, machine name and punctuation. */
@@ -66,6 +66,7 @@
       },
       wakeRound: () => this.wakeRound(ROUND_GAP),
       wakeCommands: (machine) => this.wakeCommands(machine),
+      inquire: (machine) => void this.guard(this.commander.inquire(machine)),
     };
     this.recorder = new Recorder(this.context);
     this.observer = new Observer(this.context, this.recorder);
@@ -253,14 +254,16 @@
     const now = clock.now();
     if (now < this.settledFrom) return;
     const limit = settings.workers.report * options.silentReports;
+    // One that is only known from the records, and by now should have been heard of, counts like one fallen silent.
     const up = [...this.context.block.machines.values()].filter(
-      (machine) => machine.state === "up" && !machine.deleting,
+      (machine) => (machine.state === "up" || machine.tasks.size > 0) && !machine.deleting,
     );
     const silent = up.filter((machine) => now - machine.lastHeard > limit);
     for (const machine of silent) {
       if (machine.probed < machine.lastHeard) {
         machine.probed = now;
-        void this.guard(this.commander.send(machine, true));
+        const probe = machine.session === null ? this.commander.inquire(machine) : this.commander.send(machine, true);
+        void this.guard(probe);
       }
     }
     const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -20,7 +20,7 @@
   roundMs: 1_000,
   headroom: 1,
   idleReturnS: 15,
-  silentReports: 2.2,
+  silentReports: 1.5,
 };
 
 export const optionsSchema = {
@@ -33,7 +33,7 @@
     roundMs: { type: "integer", minimum: 10, maximum: 60_000 },
     headroom: { type: "number", minimum: 0, maximum: 20 },
     idleReturnS: { type: "number", minimum: 0, maximum: 3_600 },
-    silentReports: { type: "number", minimum: 1.5, maximum: 100 },
+    silentReports: { type: "number", minimum: 1.3, maximum: 100 },
   },
 } as const;
 
