--- /dev/null
+++ b/test/checker.test.ts
@@ -0,0 +1,149 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Request, Response } from "../src/transport/http.js";
+import { BrokenRule, type Rule } from "./sim/checker.js";
+import { Cluster, type Submission } from "./sim/cluster.js";
+import { json, S } from "./sim/world.js";
+
+const job = (ref: string, fields: Partial<Submission> = {}): Submission => ({
+  ref,
+  jobclass: "batch",
+  owner: "open",
+  shape: "sweep",
+  rank: "high",
+  shards: 3,
+  cpus: 2,
+  accelerators: 0,
+  ramGb: 2,
+  bundle: "img-a",
+  sizeGb: 0.5,
+  flavors: null,
+  area: null,
+  together: false,
+  spread: false,
+  loaner: false,
+  guessS: 10,
+  saveEveryS: 0,
+  saveTakesS: 0,
+  dueS: null,
+  ...fields,
+});
+
+type Tamper = (from: string, to: string, request: Request, response: Response) => Response;
+
+/** A small quiet day with one thing about the service broken on purpose. */
+const brokenDay = async (
+  set: (cluster: Cluster) => void,
+  alter?: (settings: string) => string,
+): Promise<Rule | null> => {
+  const cluster = new Cluster(7, {}, alter);
+  set(cluster);
+  try {
+    await cluster.run(150 * S);
+  } catch (error) {
+    const cause = (error as Error).cause;
+    if (cause instanceof BrokenRule) return cause.rule;
+    throw error;
+  }
+  return null;
+};
+
+const answering =
+  (matches: (request: Request, response: Response) => boolean, instead: (request: Request) => Response): Tamper =>
+  (from, _to, request, response) =>
+    from === "user" && matches(request, response) ? instead(request) : response;
+
+const idOf = (request: Request): string => /runs\/([^/]+)/.exec(request.target)?.[1] ?? "";
+const isPoll = (request: Request): boolean => request.method === "GET" && request.target.startsWith("/v2/runs/");
+
+test("the quiet day that the broken variants start from keeps all rules", async () => {
+  const rule = await brokenDay((cluster) => {
+    cluster.submit(job("wk-000001"));
+    cluster.submit(job("wk-000002", { shape: "daemon", rank: "prod", spread: true, shards: 2 }));
+    cluster.world.at(40 * S, () => cluster.cancel("wk-000002"));
+    cluster.world.at(20 * S, () => cluster.pollStranger());
+  });
+  assert.equal(rule, null);
+});
+
+test("the checker sees a task started twice", async () => {
+  const rule = await brokenDay((cluster) => {
+    cluster.submit(job("wk-000001", { area: "east" }), { runUs: 90 * S });
+    cluster.submit(job("wk-000002", { area: "west" }), { runUs: 90 * S });
+    cluster.world.at(40 * S, () => cluster.submit(job("wk-000003", { shards: 1 }), { runUs: 60 * S }));
+    // A controller that starts a task on a second machine without proof that the first has lost it.
+    const copied = new Set<string>();
+    cluster.alsoSend((request) => {
+      if (request.target !== "/orders" || !request.body.includes("wk-000003") || copied.size > 0) return null;
+      copied.add(request.body);
+      return request;
+    });
+  });
+  assert.equal(rule, "ran_twice");
+});
+
+test("the checker sees a limit passed", async () => {
+  const rule = await brokenDay(
+    (cluster) => cluster.submit(job("wk-000001", { owner: "capped", shards: 12 })),
+    (settings) => settings.replace("cpus_max = 16.0", "cpus_max = 64.0"),
+  );
+  assert.equal(rule, "quota");
+});
+
+test("the checker sees a task in the wrong place", async () => {
+  for (const [fields, lie] of [
+    [{ loaner: false }, { loaner: true }],
+    [{ area: "west" }, { area: "east" }],
+    [{ flavors: ["small"] }, { flavors: ["big"] }],
+    [
+      { shape: "daemon", spread: true, shards: 4, rank: "prod" },
+      { area: "east", spread: false },
+    ],
+  ] as const) {
+    const rule = await brokenDay((cluster) => {
+      cluster.alter = (request) =>
+        request.target === "/v2/runs"
+          ? { ...request, body: JSON.stringify({ ...(JSON.parse(request.body) as object), ...lie }) }
+          : request;
+      cluster.submit(job("wk-000001", fields as Partial<Submission>));
+    });
+    assert.equal(rule, "wrong_place", JSON.stringify(fields));
+  }
+});
+
+test("the checker sees a cancelled task run on", async () => {
+  const rule = await brokenDay((cluster) => {
+    cluster.submit(job("wk-000001", { shape: "daemon", rank: "prod" }));
+    // Answers, but tells nobody.
+    cluster.alter = (request) =>
+      request.target.endsWith("/abort") ? { ...request, target: "/up", method: "GET" } : request;
+    cluster.network.tamper = answering(
+      (request) => request.target === "/up" || isPoll(request),
+      (request) => json(200, { ref: idOf(request), phase: cluster.world.now > 40 * S ? "withdrawn" : "pending" }),
+    );
+    cluster.world.at(40 * S, () => cluster.cancel("wk-000001"));
+  });
+  assert.equal(rule, "ran_cancelled");
+});
+
+test("the checker sees forgotten, invented, unfinished and changed jobs", async () => {
+  const cases: [Rule, (request: Request, now: number) => Response | null][] = [
+    ["forgotten", (request, now) => (isPoll(request) && now > 30 * S ? json(404, {}) : null)],
+    ["forgotten", (request, now) => (request.target === "/v2/runs" && now > 30 * S ? json(422, {}) : null)],
+    ["invented", (request) => (isPoll(request) ? json(200, { ref: idOf(request), phase: "pending" }) : null)],
+    ["not_done", (request) => (isPoll(request) ? json(200, { ref: idOf(request), phase: "done" }) : null)],
+    ["went_back", (request, now) => (isPoll(request) && now > 60 * S ? json(200, { phase: "pending" }) : null)],
+    ["went_back", (request, now) => (isPoll(request) && now > 30 * S ? json(200, { phase: "withdrawn" }) : null)],
+  ];
+  for (const [expected, lie] of cases) {
+    const rule = await brokenDay((cluster) => {
+      cluster.network.tamper = (from, _to, request, response) =>
+        from === "user" ? (lie(request, cluster.world.now) ?? response) : response;
+      cluster.submit(job("wk-000001"), { runUs: 5 * S });
+      cluster.keepAsking("wk-000001");
+      cluster.world.at(50 * S, () => cluster.submit(job("wk-000001"), { runUs: 5 * S }));
+      cluster.world.at(20 * S, () => cluster.pollStranger());
+    });
+    assert.equal(rule, expected);
+  }
+});
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -55,6 +55,7 @@
   readonly finished = new Map<string, Set<string>>();
   private readonly polls: { at: number; good: boolean; job: string }[] = [];
   starts = 0;
+  private broken: BrokenRule | null = null;
 
   constructor(
     private readonly now: () => number,
@@ -62,6 +63,11 @@
     private readonly cancelUs: number,
   ) {}
 
+  /** Kept for the next tick: most of what is seen here is seen in callbacks, where an exception would get lost. */
+  private break(rule: Rule, detail: string): void {
+    this.broken ??= new BrokenRule(rule, detail);
+  }
+
   private state(id: string): Told {
     const known = this.told.get(id) ?? {
       accepted: false,
@@ -80,14 +86,14 @@
     if (job === undefined) throw new Error(`no such job ${id}`);
     this.starts += 1;
     const places = this.on.get(task) ?? new Set();
-    if (places.size > 0) throw new BrokenRule("ran_twice", `${task} on ${machine.name} and ${[...places][0]?.name}`);
+    if (places.size > 0) this.break("ran_twice", `${task} on ${machine.name} and ${[...places][0]?.name}`);
     this.place(job, machine);
     places.add(machine);
     this.on.set(task, places);
     const limit = this.limits.get(job.team);
-    if (limit !== undefined && this.used(job.team) > limit) throw new BrokenRule("quota", `${job.team} with ${task}`);
+    if (limit !== undefined && this.used(job.team) > limit) this.break("quota", `${job.team} with ${task}`);
     const { cancelledAt } = this.state(id);
-    if (cancelledAt !== null && this.now() > cancelledAt + this.cancelUs) throw new BrokenRule("ran_cancelled", task);
+    if (cancelledAt !== null && this.now() > cancelledAt + this.cancelUs) this.break("ran_cancelled", task);
   }
 
   taskOff(task: string, machine: TrueMachine): void {
@@ -117,8 +123,8 @@
   }
 
   private place(job: TrueJob, machine: TrueMachine): void {
-    const wrong = (why: string): never => {
-      throw new BrokenRule("wrong_place", `${job.id} on ${machine.name}: ${why}`);
+    const wrong = (why: string): void => {
+      this.break("wrong_place", `${job.id} on ${machine.name}: ${why}`);
     };
     if (job.types !== null && !job.types.includes(machine.type)) wrong("type");
     if (job.zone !== null && job.zone !== machine.zone) wrong("zone");
@@ -136,17 +142,18 @@
 
   /** Time may break a rule, too. */
   tick(): void {
+    if (this.broken !== null) throw this.broken;
     for (const [id, told] of this.told) {
       if (told.cancelledAt === null || this.now() <= told.cancelledAt + this.cancelUs) continue;
       for (const task of this.on.keys()) {
-        if (task.startsWith(`${id}/`)) throw new BrokenRule("ran_cancelled", task);
+        if (task.startsWith(`${id}/`)) this.break("ran_cancelled", task);
       }
     }
   }
 
   submitted(id: string, status: number, phase: string | null): void {
     const told = this.state(id);
-    if (told.accepted && (status === 400 || status === 422)) throw new BrokenRule("forgotten", `${id}: ${status}`);
+    if (told.accepted && (status === 400 || status === 422)) this.break("forgotten", `${id}: ${status}`);
     if (status !== 200 && status !== 201) return;
     told.accepted = true;
     told.lastGood = this.now();
@@ -159,7 +166,7 @@
 
   cancelAnswered(id: string, status: number, phase: string | null): void {
     const told = this.state(id);
-    if (status === 404 && told.accepted) throw new BrokenRule("forgotten", `${id}: abort got 404`);
+    if (status === 404 && told.accepted) this.break("forgotten", `${id}: abort got 404`);
     if (status === 200 && phase !== null) this.phase(id, told, phase);
   }
 
@@ -168,31 +175,30 @@
     const now = this.now();
     this.polls.push({ at: now, good: status === 200 || status === 404, job: id });
     while ((this.polls[0]?.at ?? now) < now - 90_000_000) this.polls.shift();
-    if (status === 404 && told.accepted) throw new BrokenRule("forgotten", `${id}: 404`);
+    if (status === 404 && told.accepted) this.break("forgotten", `${id}: 404`);
     if (status === 200) {
-      if (!this.jobs.has(id)) throw new BrokenRule("invented", id);
+      if (!this.jobs.has(id)) this.break("invented", id);
       told.lastGood = now;
       if (phase !== null) this.phase(id, told, phase);
     } else if (told.accepted && now - told.lastGood > 90_000_000) {
       const others = this.polls.filter((poll) => poll.job !== id);
       if (others.length > 10 && others.filter((poll) => poll.good).length > others.length / 2) {
-        throw new BrokenRule("forgotten", `${id}: no answer for 90 s`);
+        this.break("forgotten", `${id}: no answer for 90 s`);
       }
     }
   }
 
   private phase(id: string, told: Told, phase: string): void {
-    if (told.final !== null && phase !== told.final)
-      throw new BrokenRule("went_back", `${id}: ${told.final} to ${phase}`);
+    if (told.final !== null && phase !== told.final) this.break("went_back", `${id}: ${told.final} to ${phase}`);
     if (phase === "withdrawn") {
-      if (!told.cancelAsked) throw new BrokenRule("went_back", `${id}: cancelled by nobody`);
+      if (!told.cancelAsked) this.break("went_back", `${id}: cancelled by nobody`);
       told.cancelledAt ??= this.now();
       told.final = phase;
     }
     if (phase === "done") {
       const job = this.jobs.get(id);
       if ((this.finished.get(id)?.size ?? 0) < (job?.tasks ?? 0) || job?.service === true) {
-        throw new BrokenRule("not_done", id);
+        this.break("not_done", id);
       }
       told.final = phase;
     }
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -6,7 +6,7 @@
 import type { Log } from "../../src/transport/log.js";
 import { settingsText } from "../fixtures.js";
 import { Random } from "../random.js";
-import { Checker } from "./checker.js";
+import { BrokenRule, Checker } from "./checker.js";
 import { type Behaviour, CloudService, type TypeInfo, Worker } from "./fleet.js";
 import { StateService } from "./state-service.js";
 import { type Host, HostClock, Network, S, World } from "./world.js";
@@ -52,6 +52,8 @@
   private readonly settings: Settings[];
   private readonly options: Options;
   private readonly log: string[] = [];
+  /** Lets a test change what users send on its way. */
+  alter: (request: Request) => Request = (request) => request;
 
   constructor(seed: number, options: Partial<Options> = {}, alterSettings: (text: string) => string = (text) => text) {
     this.random = new Random(seed);
@@ -174,6 +176,7 @@
     try {
       await this.world.run(this.world.now + forUs, () => this.checker.tick());
     } catch (error) {
+      if (!(error instanceof BrokenRule)) throw error;
       const tail = this.log.slice(-40).join("\n");
       throw new Error(`at ${this.world.now / S} s, seed ${this.random.seed}\n${tail}`, { cause: error });
     }
@@ -203,7 +206,7 @@
     const to = this.random.pick(ADDRESSES);
     void this.network
       .client("user", clock)
-      .call(to, request, timeoutUs as Micros)
+      .call(to, this.alter(request), timeoutUs as Micros)
       .then((outcome) => {
         if (outcome.kind !== "answer") done(null, {});
         else done(outcome.status, JSON.parse(outcome.body) as { phase?: string });
@@ -269,6 +272,25 @@
     );
   }
 
+  /** Goes on polling past the end, as some users do. */
+  keepAsking(id: string): void {
+    this.poll(id);
+    this.world.after(5 * S, () => this.keepAsking(id));
+  }
+
+  /** Sends a copy of chosen commands to every other machine. */
+  alsoSend(choose: (request: Request) => Request | null): void {
+    const clock = new HostClock(this.world, 1, 0);
+    this.network.onRequest = (from, to, request) => {
+      const others = this.cloud.running().filter((machine) => machine.worker?.host.address !== to);
+      if (others.length === 0 || !ADDRESSES.includes(from)) return;
+      const copy = choose(request);
+      if (copy === null) return;
+      const client = this.network.client(from, clock);
+      for (const { worker } of others) if (worker !== null) void client.call(worker.host.address, copy, S as Micros);
+    };
+  }
+
   pollStranger(): void {
     const id = `wk-9${this.random.int(10_000, 99_999)}`;
     this.ask({ method: "GET", target: `/v2/runs/${id}`, body: "" }, (status, body) =>
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -121,6 +121,8 @@
   /** Lets a test change what is said, to see that the checker notices. */
   tamper: ((from: string, to: string, request: Request, response: Response) => Response) | null = null;
 
+  onRequest: ((from: string, to: string, request: Request) => void) | null = null;
+
   constructor(
     private readonly world: World,
     private readonly random: Random,
@@ -174,6 +176,7 @@
           settle({ kind: open ? "lost" : "unsent" });
           return;
         }
+        this.onRequest?.(from, to, request);
         void target.serve(request, from).then((response) => this.reply(from, to, request, response, settle));
       };
       if (!open && (host === undefined || host.state !== "up") && host?.state === "refusing") {
