--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -203,6 +203,8 @@
     for (const victim of best.victims) {
       const { checkpointS, saveS } = victim.job.spec;
       victim.stop = { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
+      // Its own team is now short of its guarantee, too; without a pause it would be back before the other.
+      victim.notBefore = (now + PREEMPT_PAUSE) as Micros;
     }
     // Their room is spoken for: nothing else of this round is to count on it.
     best.server.free = minus(best.server.free, best.server.free);
@@ -214,6 +216,8 @@
     if (victim.stop !== null || victim.launch.kind !== "seen" || victim.job.cancelled) return false;
     if (rankOf(victim.job.spec) > rankOf(task.job.spec)) return true;
     const other = victim.job.spec;
+    // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
+    if (other.shape === "service") return false;
     if (other.team === task.job.spec.team || clock.now() - task.waitingSince < GUARANTEE_PATIENCE) return false;
     const guaranteed = this.context.settings.teams.get(other.team)?.guaranteed;
     const beyond = guaranteed === undefined || block.teamUse(other.team).cpu > guaranteed.cpu;
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -2,33 +2,9 @@
 import { test } from "node:test";
 import type { Request, Response } from "../src/transport/http.js";
 import { BrokenRule, type Rule } from "./sim/checker.js";
-import { Cluster, type Submission } from "./sim/cluster.js";
+import { Cluster, plainJob, type Submission } from "./sim/cluster.js";
 import { json, S } from "./sim/world.js";
 
-const job = (ref: string, fields: Partial<Submission> = {}): Submission => ({
-  ref,
-  jobclass: "batch",
-  owner: "open",
-  shape: "sweep",
-  rank: "high",
-  shards: 3,
-  cpus: 2,
-  accelerators: 0,
-  ramGb: 2,
-  bundle: "img-a",
-  sizeGb: 0.5,
-  flavors: null,
-  area: null,
-  together: false,
-  spread: false,
-  loaner: false,
-  guessS: 10,
-  saveEveryS: 0,
-  saveTakesS: 0,
-  dueS: null,
-  ...fields,
-});
-
 type Tamper = (from: string, to: string, request: Request, response: Response) => Response;
 
 /** A small quiet day with one thing about the service broken on purpose. */
@@ -58,8 +34,8 @@
 
 test("the quiet day that the broken variants start from keeps all rules", async () => {
   const rule = await brokenDay((cluster) => {
-    cluster.submit(job("wk-000001"));
-    cluster.submit(job("wk-000002", { shape: "daemon", rank: "prod", spread: true, shards: 2 }));
+    cluster.submit(plainJob("wk-000001"));
+    cluster.submit(plainJob("wk-000002", { shape: "daemon", rank: "prod", spread: true, shards: 2 }));
     cluster.world.at(40 * S, () => cluster.cancel("wk-000002"));
     cluster.world.at(20 * S, () => cluster.pollStranger());
   });
@@ -68,9 +44,9 @@
 
 test("the checker sees a task started twice", async () => {
   const rule = await brokenDay((cluster) => {
-    cluster.submit(job("wk-000001", { area: "east" }), { runUs: 90 * S });
-    cluster.submit(job("wk-000002", { area: "west" }), { runUs: 90 * S });
-    cluster.world.at(40 * S, () => cluster.submit(job("wk-000003", { shards: 1 }), { runUs: 60 * S }));
+    cluster.submit(plainJob("wk-000001", { area: "east" }), { runUs: 90 * S });
+    cluster.submit(plainJob("wk-000002", { area: "west" }), { runUs: 90 * S });
+    cluster.world.at(40 * S, () => cluster.submit(plainJob("wk-000003", { shards: 1 }), { runUs: 60 * S }));
     // A controller that starts a task on a second machine without proof that the first has lost it.
     const copied = new Set<string>();
     cluster.alsoSend((request) => {
@@ -84,7 +60,7 @@
 
 test("the checker sees a limit passed", async () => {
   const rule = await brokenDay(
-    (cluster) => cluster.submit(job("wk-000001", { owner: "capped", shards: 12 })),
+    (cluster) => cluster.submit(plainJob("wk-000001", { owner: "capped", shards: 12 })),
     (settings) => settings.replace("cpus_max = 16.0", "cpus_max = 64.0"),
   );
   assert.equal(rule, "quota");
@@ -105,7 +81,7 @@
         request.target === "/v2/runs"
           ? { ...request, body: JSON.stringify({ ...(JSON.parse(request.body) as object), ...lie }) }
           : request;
-      cluster.submit(job("wk-000001", fields as Partial<Submission>));
+      cluster.submit(plainJob("wk-000001", fields as Partial<Submission>));
     });
     assert.equal(rule, "wrong_place", JSON.stringify(fields));
   }
@@ -113,7 +89,7 @@
 
 test("the checker sees a cancelled task run on", async () => {
   const rule = await brokenDay((cluster) => {
-    cluster.submit(job("wk-000001", { shape: "daemon", rank: "prod" }));
+    cluster.submit(plainJob("wk-000001", { shape: "daemon", rank: "prod" }));
     // Answers, but tells nobody.
     cluster.alter = (request) =>
       request.target.endsWith("/abort") ? { ...request, target: "/up", method: "GET" } : request;
@@ -139,9 +115,9 @@
     const rule = await brokenDay((cluster) => {
       cluster.network.tamper = (from, _to, request, response) =>
         from === "user" ? (lie(request, cluster.world.now) ?? response) : response;
-      cluster.submit(job("wk-000001"), { runUs: 5 * S });
+      cluster.submit(plainJob("wk-000001"), { runUs: 5 * S });
       cluster.keepAsking("wk-000001");
-      cluster.world.at(50 * S, () => cluster.submit(job("wk-000001"), { runUs: 5 * S }));
+      cluster.world.at(50 * S, () => cluster.submit(plainJob("wk-000001"), { runUs: 5 * S }));
       cluster.world.at(20 * S, () => cluster.pollStranger());
     });
     assert.equal(rule, expected);
--- /dev/null
+++ b/test/scenarios.test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Cluster, plainJob } from "./sim/cluster.js";
+import { S } from "./sim/world.js";
+
+test("replicas of one team are not stopped to give another its guarantee", async () => {
+  // Seen on a site whose smaller zone had a single ordinary machine: two teams' services drove each other off
+  // it every few seconds, all day long.
+  const cluster = new Cluster(3);
+  cluster.cloud.ordinaryRoom = 1;
+  const service = { shape: "daemon", rank: "prod", area: "west", flavors: ["small"] } as const;
+  cluster.submit(plainJob("wk-000001", { ...service, shards: 2, owner: "open" }));
+  cluster.world.at(40 * S, () => cluster.submit(plainJob("wk-000002", { ...service, shards: 1, owner: "capped" })));
+  await cluster.run(90 * S);
+  assert.equal(cluster.logged("preempting"), false);
+  assert.equal(cluster.checker.starts, 2);
+});
+
+test("a crashed holder's block is taken and its machines known within a moment of the restart", async () => {
+  // The next leader used to wait for its next renewal, and machines were only known once they had reported.
+  const cluster = new Cluster(5);
+  for (let at = 0; at < 6; at += 1) cluster.submit(plainJob(`wk-00000${at}`, { shards: 4 }), { runUs: 200 * S });
+  await cluster.run(60 * S);
+  for (const at of [0, 1, 2]) cluster.crash(at);
+  // Longer than the restart takes, and far shorter than workers need to come by on their own.
+  await cluster.run(3 * S);
+  const running = cluster.checker.starts;
+  cluster.submit(plainJob("wk-000009", { shards: 1, cpus: 1, sizeGb: 0.1 }));
+  await cluster.run(2.5 * S);
+  assert.ok(cluster.checker.starts > running, "nothing started within 2.5 s of the restart");
+});
+
+test("a job of 100,000 tasks is accepted, placed bit by bit and cancelled", async () => {
+  const cluster = new Cluster(9);
+  cluster.submit(plainJob("wk-000001", { shards: 100_000, cpus: 1 }), { runUs: 5 * S });
+  cluster.submit(plainJob("wk-000002", { shards: 2, cpus: 1 }), { runUs: 5 * S });
+  await cluster.run(80 * S);
+  assert.ok(cluster.checker.starts > 200, `${cluster.checker.starts} starts`);
+  cluster.cancel("wk-000001");
+  await cluster.run(90 * S);
+  assert.equal(cluster.checker.finalOf("wk-000001"), "withdrawn");
+  assert.equal(cluster.checker.finalOf("wk-000002"), "done");
+  assert.deepEqual(cluster.errors, []);
+});
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -354,3 +354,28 @@
     dueS: random.chance(0.3) ? 60 : null,
   };
 };
+
+/** An ordinary job, but for the given fields. */
+export const plainJob = (ref: string, fields: Partial<Submission> = {}): Submission => ({
+  ref,
+  jobclass: "batch",
+  owner: "open",
+  shape: "sweep",
+  rank: "high",
+  shards: 3,
+  cpus: 2,
+  accelerators: 0,
+  ramGb: 2,
+  bundle: "img-a",
+  sizeGb: 0.5,
+  flavors: null,
+  area: null,
+  together: false,
+  spread: false,
+  loaner: false,
+  guessS: 10,
+  saveEveryS: 0,
+  saveTakesS: 0,
+  dueS: null,
+  ...fields,
+});
