--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -138,13 +138,13 @@
     return this.used.get(team) ?? { cpu: 0, gpu: 0 };
   }
 
-  withinLimit(spec: JobSpec): boolean {
+  withinLimit(spec: JobSpec, tasks = 1): boolean {
     const limit = this.teams.get(spec.team)?.limit;
     if (limit === undefined) return true;
     const used = this.teamUse(spec.team);
     return (
-      (limit.cpu === null || used.cpu + spec.demand.cpu <= limit.cpu) &&
-      (limit.gpu === null || used.gpu + spec.demand.gpu <= limit.gpu)
+      (limit.cpu === null || used.cpu + spec.demand.cpu * tasks <= limit.cpu) &&
+      (limit.gpu === null || used.gpu + spec.demand.gpu * tasks <= limit.gpu)
     );
   }
 
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -141,6 +141,10 @@
   drain(machine: Machine): void {
     const now = this.context.clock.now();
     const notice = machine.noticeUntil;
+    for (const task of machine.tasks) {
+      // Told to stop before it was ever started.
+      if (task.stop !== null && task.launch.kind === "none") this.observer.gone(task);
+    }
     if (notice === null && machine.drain === null) return;
     for (const task of machine.tasks) {
       if (task.stop !== null) continue;
@@ -152,7 +156,7 @@
       const { spec } = task.job;
       const left = notice === null ? Number.POSITIVE_INFINITY : notice - now;
       const ran = task.runningSince === null ? 0 : now - task.runningSince;
-      const endsInTime = spec.shape === "array" && seconds(spec.estimateS) - ran < left * 0.7;
+      const endsInTime = spec.shape !== "service" && seconds(spec.estimateS) - ran < left * 0.7;
       if (endsInTime && machine.drain !== "faulty") continue;
       task.stop = { graceS: spec.checkpointS > 0 && seconds(spec.saveS) <= left ? Math.ceil(spec.saveS) : 0 };
     }
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -110,7 +110,7 @@
         fits(spec.demand, type.capacity),
     );
     if (!fitting) return "a task fits no allowed machine type";
-    const count = spec.shape === "service" ? spec.tasks : 1;
+    const count = spec.shape === "array" ? 1 : spec.tasks;
     const over =
       (team.limit.cpu !== null && spec.demand.cpu * count > team.limit.cpu) ||
       (team.limit.gpu !== null && spec.demand.gpu * count > team.limit.gpu);
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -115,7 +115,7 @@
     for (const job of this.waiting()) {
       let left = this.place(job, servers);
       while (left === "more") left = this.place(job, servers);
-      if (left !== null && left !== "limit") this.preempt(left, servers);
+      if (left !== null && left !== "limit" && job.spec.shape !== "gang") this.preempt(left, servers);
     }
   }
 
@@ -133,6 +133,7 @@
       const inZone = allowed.filter(({ machine }) => machine.zone === zone);
       allowed.splice(0, allowed.length, ...inZone);
     }
+    if (spec.shape === "gang") return this.placeGang(job, allowed, counts);
     const tasks = [...job.waiting].filter((task) => task.notBefore <= now).sort((a, b) => a.index - b.index);
     for (const task of tasks) {
       if (!block.withinLimit(spec)) return "limit";
@@ -141,13 +142,69 @@
       if (server === null) return task;
       assign(spec, server);
       counts.set(server.machine.zone, (counts.get(server.machine.zone) ?? 0) + 1);
-      block.occupy(task, server.machine);
-      task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: server.name };
-      this.recorder.mark(task.range);
+      this.put(task, server);
     }
     return job.waiting.size === 0 && block.openRange(job) ? "more" : null;
   }
 
+  private put(task: Task, server: Candidate): void {
+    this.context.block.occupy(task, server.machine);
+    task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: server.name };
+    this.recorder.mark(task.range);
+  }
+
+  /** All of a gang's open tasks in this round, or none. */
+  private placeGang(job: Job, servers: readonly Candidate[], counts: Map<string, number>): Task | "limit" | null {
+    const { block, clock, options } = this.context;
+    const { spec } = job;
+    const now = clock.now();
+    while (block.openRange(job));
+    const tasks = [...job.waiting].sort((a, b) => a.index - b.index);
+    const first = tasks[0];
+    if (first === undefined || tasks.some((task) => task.notBefore > now)) return null;
+    if (job.placed.size > 0) {
+      this.dissolve(job);
+      return null;
+    }
+    if (!block.withinLimit(spec, tasks.length)) return "limit";
+    const before = servers.map((server) => ({
+      server,
+      free: server.free,
+      busy: server.busy,
+      had: server.images.has(spec.image),
+    }));
+    const chosen: Candidate[] = [];
+    for (const task of tasks) {
+      const inZones = servers.filter(({ machine }) => zoneAllowed(spec, counts, machine.zone));
+      const server = this.pick(spec, inZones, options.kappa);
+      if (server === null) {
+        for (const { server: touched, free, busy, had } of before) {
+          touched.free = free;
+          touched.busy = busy;
+          if (!had) touched.images.delete(spec.image);
+        }
+        return task;
+      }
+      assign(spec, server);
+      counts.set(server.machine.zone, (counts.get(server.machine.zone) ?? 0) + 1);
+      chosen.push(server);
+    }
+    tasks.forEach((task, at) => {
+      const server = chosen[at];
+      if (server !== undefined) this.put(task, server);
+    });
+    return null;
+  }
+
+  /** A gang that lost a task cannot go on; the sooner the rest is stopped, the sooner it starts anew together. */
+  private dissolve(job: Job): void {
+    const { checkpointS, saveS } = job.spec;
+    for (const task of job.placed) {
+      task.stop ??= { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
+      if (task.on !== null) this.context.wakeCommands(task.on);
+    }
+  }
+
   /**
    * Work that may use spot machines goes there while one fits: the paper leaves the choice of S_i to the
    * operator, and ordinary room is dearer and the only room for the rest.
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -1,6 +1,7 @@
 import { asArray, asObject, type Fields, Malformed, orNull, readAmount, readBoolean, readString } from "./json.js";
 
-export type JobShape = "array" | "service";
+/** A gang runs to completion like an array, but its tasks run together or not at all. */
+export type JobShape = "array" | "gang" | "service";
 export const PRIORITIES = ["production", "high", "normal", "low"] as const;
 export type Priority = (typeof PRIORITIES)[number];
 
@@ -48,7 +49,7 @@
 
 export type JobPhase = "queued" | "running" | "done" | "cancelled";
 
-const WIRE_SHAPE: Readonly<Record<string, JobShape>> = { sweep: "array", daemon: "service" };
+const WIRE_SHAPE: Readonly<Record<string, JobShape>> = { sweep: "array", ensemble: "gang", daemon: "service" };
 const WIRE_PRIORITY: Readonly<Record<string, Priority>> = {
   prod: "production",
   high: "high",
--- a/src/protocol/worker.ts
+++ b/src/protocol/worker.ts
@@ -12,7 +12,8 @@
 } from "./json.js";
 
 export type ExitReason = "done" | "stopped" | "error" | "no_room" | "busy" | "unknown";
-export type TaskState = "fetching" | "running" | "saving" | "exited";
+/** `waiting`: has its image and waits for the rest of its gang. */
+export type TaskState = "fetching" | "waiting" | "running" | "saving" | "exited";
 
 export interface TaskReport {
   readonly task: string;
@@ -41,6 +42,7 @@
 
 const WIRE_STATE: Readonly<Record<string, TaskState>> = {
   pulling: "fetching",
+  waiting: "waiting",
   running: "running",
   flushing: "saving",
   exited: "exited",
@@ -48,6 +50,9 @@
 const WIRE_REASON: Readonly<Record<string, ExitReason>> = {
   done: "done",
   halted: "stopped",
+  // Nothing speaks against machine or job when a gang did not get, or stay, complete.
+  mates_gone: "stopped",
+  incomplete: "stopped",
   error: "error",
   full: "no_room",
   in_use: "busy",
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -30,6 +30,18 @@
   assert.ok(cluster.checker.starts > running, "nothing started within 2.5 s of the restart");
 });
 
+test("a gang starts together, and together anew when it loses a task", async () => {
+  const cluster = new Cluster(11);
+  const gang = plainJob("wk-000001", { shape: "ensemble", shards: 6, cpus: 4, flavors: ["big"] });
+  cluster.submit(gang, { runUs: 60 * S });
+  await cluster.run(50 * S);
+  const tasks = [0, 1, 2, 3, 4, 5].map((at) => `wk-000001/${at}`);
+  assert.ok(tasks.every((task) => cluster.checker.isOn(task)));
+  cluster.cloud.take(cluster.cloud.running()[0]?.ref ?? "");
+  await cluster.run(200 * S);
+  assert.equal(cluster.checker.finalOf("wk-000001"), "done");
+});
+
 test("a job of 100,000 tasks is accepted, placed bit by bit and cancelled", async () => {
   const cluster = new Cluster(9);
   cluster.submit(plainJob("wk-000001", { shards: 100_000, cpus: 1 }), { runUs: 5 * S });
