--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -11,6 +11,7 @@
 }
 
 const PREEMPT_PAUSE = seconds(3);
+const MOVE_PAUSE = seconds(0.3);
 /** Work is only stopped for a guarantee when room has not come up by itself. */
 const GUARANTEE_PATIENCE = seconds(3);
 
@@ -210,9 +211,28 @@
    * operator, and ordinary room is dearer and the only room for the rest.
    */
   private pick(spec: JobSpec, servers: readonly Candidate[], kappa: number): Candidate | null {
-    const spot = spec.spot ? servers.filter(({ machine }) => machine.spot) : [];
-    const first = spot.length > 0 ? choose(spec, spot, kappa) : null;
-    return first ?? choose(spec, servers, kappa);
+    const broad = this.broadZones();
+    const inBroad = servers.filter(({ machine }) => broad.has(machine.zone));
+    for (const sets of spec.spot ? [inBroad, servers] : []) {
+      const spot = sets.filter(({ machine }) => machine.spot);
+      const server = spot.length > 0 ? choose(spec, spot, kappa) : null;
+      if (server !== null) return server;
+    }
+    const server = inBroad.length > 0 && inBroad.length < servers.length ? choose(spec, inBroad, kappa) : null;
+    return server ?? choose(spec, servers, kappa);
+  }
+
+  /**
+   * Zones where the cloud offers most types. What can go anywhere goes there first: a zone with little room is
+   * the only one left for the second half of a job that has to be spread.
+   */
+  private broadZones(): ReadonlySet<string> {
+    const count = new Map<string, number>();
+    for (const type of this.context.block.types().values()) {
+      for (const zone of type.zones) count.set(zone, (count.get(zone) ?? 0) + 1);
+    }
+    const most = Math.max(0, ...count.values());
+    return new Set([...count].filter(([, types]) => types === most).map(([zone]) => zone));
   }
 
   private roomiest(job: Job, servers: readonly Candidate[]): string | null {
@@ -243,7 +263,9 @@
       let free = server.free;
       let cost = 0;
       const ran = (victim: Task): number => (victim.runningSince === null ? 0 : now - victim.runningSince);
-      const order = [...machine.tasks].filter((victim) => this.mayStop(task, victim)).sort((a, b) => ran(a) - ran(b));
+      const order = [...machine.tasks]
+        .filter((victim) => this.mayStop(task, victim) || this.movable(task, victim, servers))
+        .sort((a, b) => rankOf(b.job.spec) - rankOf(a.job.spec) || ran(a) - ran(b));
       for (const victim of order) {
         if (fits(spec.demand, free)) break;
         victims.push(victim);
@@ -261,13 +283,33 @@
       const { checkpointS, saveS } = victim.job.spec;
       victim.stop = { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
       // Its own team is now short of its guarantee, too; without a pause it would be back before the other.
-      victim.notBefore = (now + PREEMPT_PAUSE) as Micros;
+      const pause = this.movable(task, victim, servers) ? MOVE_PAUSE : PREEMPT_PAUSE;
+      victim.notBefore = (now + pause) as Micros;
     }
     // Their room is spoken for: nothing else of this round is to count on it.
     best.server.free = minus(best.server.free, best.server.free);
     this.context.wakeCommands(best.server.machine);
   }
 
+  /**
+   * A replica that could as well run in another zone, with room for it there now, makes way for one of a spread
+   * job that cannot: it is moved, which takes seconds, where the other would wait for ever.
+   */
+  private movable(task: Task, victim: Task, servers: readonly Candidate[]): boolean {
+    const { spec } = victim.job;
+    if (!task.job.spec.spread || spec.shape !== "service" || victim.job === task.job) return false;
+    if (victim.stop !== null || victim.launch.kind !== "seen" || rankOf(spec) < rankOf(task.job.spec)) return false;
+    const here = victim.on?.zone ?? "";
+    const counts = zoneCounts(victim.job);
+    return servers.some(
+      ({ machine, free }) =>
+        machine.zone !== here &&
+        allows(spec, machine.typeName, machine.zone, machine.spot) &&
+        zoneAllowed(spec, counts, machine.zone) &&
+        fits(spec.demand, free),
+    );
+  }
+
   private mayStop(task: Task, victim: Task): boolean {
     const { block, clock } = this.context;
     if (victim.stop !== null || victim.launch.kind !== "seen" || victim.job.cancelled) return false;
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -16,7 +16,7 @@
 }
 
 export const DEFAULT_OPTIONS: Options = {
-  kappa: 0.1,
+  kappa: 0.5,
   roundMs: 1_000,
   headroom: 1,
   idleReturnS: 15,
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -16,6 +16,21 @@
   assert.equal(cluster.checker.starts, 2);
 });
 
+test("a replica that can run elsewhere makes way for one that cannot", async () => {
+  // Seen on a site with one ordinary machine in its smaller zone: once jobs without a need for it had filled it,
+  // the second replicas of spread jobs waited all day.
+  const cluster = new Cluster(4);
+  cluster.cloud.ordinaryRoom = 1;
+  const service = { shape: "daemon", rank: "prod", flavors: ["big"] } as const;
+  for (let at = 1; at <= 4; at += 1) {
+    cluster.submit(plainJob(`wk-00000${at}`, { ...service, shards: 1, cpus: 4, area: at === 1 ? "east" : null }));
+  }
+  await cluster.run(60 * S);
+  cluster.submit(plainJob("wk-000009", { ...service, shards: 2, cpus: 4, spread: true }));
+  await cluster.run(60 * S);
+  assert.deepEqual(cluster.missingReplicas(), []);
+});
+
 test("a crashed holder's block is taken and its machines known within a moment of the restart", async () => {
   // The next leader used to wait for its next renewal, and machines were only known once they had reported.
   const cluster = new Cluster(5);
