--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -40,6 +40,11 @@
   return !spec.spread || (counts.get(zone) ?? 0) + unknown < Math.ceil(spec.tasks / 2);
 };
 
+const hostsService = (machine: Machine): boolean => {
+  for (const task of machine.tasks) if (task.job.spec.shape === "service") return true;
+  return false;
+};
+
 /** Placement rounds: what is waiting, in order, each on the machine that Algorithm 1 chooses. */
 export class Rounds {
   constructor(
@@ -218,8 +223,13 @@
       const server = spot.length > 0 ? choose(spec, spot, kappa) : null;
       if (server !== null) return server;
     }
-    const server = inBroad.length > 0 && inBroad.length < servers.length ? choose(spec, inBroad, kappa) : null;
-    return server ?? choose(spec, servers, kappa);
+    // Machines that run replicas stay for long; filling those first lets the others empty and go back.
+    const staying = inBroad.filter(({ machine }) => hostsService(machine));
+    for (const set of [staying, inBroad]) {
+      const server = set.length > 0 ? choose(spec, set, kappa) : null;
+      if (server !== null) return server;
+    }
+    return choose(spec, servers, kappa);
   }
 
   /**
