--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -6,7 +6,7 @@
 import { type BlockContext, backOff } from "./context.js";
 import type { Observer } from "./observer.js";
 import { fits, minus } from "./placement/bfgp.js";
-import { allows, type Rounds, zoneAllowed, zoneCounts } from "./rounds.js";
+import { allows, type Candidate, type Rounds, zoneAllowed, zoneCounts } from "./rounds.js";
 
 const PLAN_PERIOD = ms(400);
 const MIN_CHARGE = seconds(58);
@@ -18,6 +18,8 @@
 const MAX_ASK = 50;
 const MAX_DELETE = 100;
 const RECENT_JOBS = 30;
+const MOVE_MOST = 10;
+const MOVE_PERIOD = seconds(15);
 
 interface Option {
   readonly type: MachineType;
@@ -55,6 +57,7 @@
   private readonly history = new Map<string, ClassHistory>();
   private stopped = false;
   private listed = false;
+  private consolidateAfter: Micros = 0 as Micros;
 
   constructor(
     private readonly context: BlockContext,
@@ -174,6 +177,7 @@
     this.packHeadroom(bins);
     this.rent(bins.slice(before));
     this.giveBack(bins);
+    this.consolidate();
     await this.settleAsks();
   }
 
@@ -231,7 +235,15 @@
 
   /** A start within a second cannot wait for a boot: such classes find the room for a usual job standing. */
   private packHeadroom(bins: Bin[]): void {
+    for (const { spec, count } of this.standing()) {
+      this.pack({ ...spec, oneZone: false, tasks: 1_000 }, count, new Map(), bins);
+    }
+  }
+
+  /** Room kept free: for each class in a hurry, a usual job's. */
+  private standing(): { readonly spec: JobSpec; readonly count: number }[] {
     const { settings, options } = this.context;
+    const wanted: { spec: JobSpec; count: number }[] = [];
     const classes = [...this.history.values()].sort((a, b) => Number(a.spec.spot) - Number(b.spec.spot));
     for (const { spec, sizes } of classes) {
       const boot = Math.min(...[...this.context.block.types().values()].map((type) => type.bootS));
@@ -243,8 +255,9 @@
       );
       if (!hurried) continue;
       const usual = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
-      this.pack({ ...spec, oneZone: false, tasks: 1_000 }, Math.ceil(usual * options.headroom), new Map(), bins);
+      wanted.push({ spec, count: Math.ceil(usual * options.headroom) });
     }
+    return wanted;
   }
 
   private pack(spec: JobSpec, count: number, counts: Map<string, number>, bins: Bin[]): void {
@@ -345,6 +358,57 @@
     this.refusals.set(key, { until: (clock.now() + backOff(count - 1, REFUSAL_FIRST, REFUSAL_MOST)) as Micros, count });
   }
 
+  /**
+   * Replicas stay long after the work that made their machines fill up. An ordinary machine with few of them is
+   * emptied, one machine at a time, when all have a place elsewhere that holds their image already.
+   */
+  private consolidate(): void {
+    const { clock, log } = this.context;
+    const now = clock.now();
+    if (now < this.consolidateAfter) return;
+    const servers = this.rounds.candidates().filter(({ machine }) => !machine.spot);
+    const used = ({ machine }: Candidate): number => machine.tasks.size;
+    const movable = servers
+      .filter((server) => used(server) > 0 && used(server) <= MOVE_MOST && now - server.machine.rentedAt > MIN_CHARGE)
+      .filter(({ machine }) =>
+        [...machine.tasks].every((task) => task.state === "running" && task.job.spec.shape === "service"),
+      )
+      .sort((a, b) => used(a) - used(b));
+    for (const server of movable) {
+      if (!this.fitElsewhere(server, servers)) continue;
+      server.machine.drain = "returning";
+      this.consolidateAfter = (now + MOVE_PERIOD) as Micros;
+      log.info("machine emptied", { machine: server.machine.name, tasks: server.machine.tasks.size });
+      return;
+    }
+  }
+
+  private fitElsewhere(server: Candidate, servers: readonly Candidate[]): boolean {
+    const others = servers.filter((other) => other !== server && other.busy).map((other) => ({ ...other }));
+    for (const task of server.machine.tasks) {
+      const { spec } = task.job;
+      const counts = zoneCounts(task.job);
+      counts.set(server.machine.zone, (counts.get(server.machine.zone) ?? 1) - 1);
+      const target = others.find(
+        ({ machine, free, images }) =>
+          fits(spec.demand, free) &&
+          images.has(spec.image) &&
+          allows(spec, machine.typeName, machine.zone, machine.spot) &&
+          zoneAllowed(spec, counts, machine.zone),
+      );
+      if (target === undefined) return false;
+      target.free = minus(target.free, spec.demand);
+    }
+    // The room kept for the next service must be there afterwards, or a machine would be rented right away.
+    return this.standing()
+      .filter(({ spec }) => !spec.spot)
+      .every(({ spec, count }) => {
+        let room = 0;
+        for (const { free } of others) room += Math.floor(free.cpu / Math.max(1, spec.demand.cpu));
+        return room >= 2 * count;
+      });
+  }
+
   private giveBack(bins: readonly Bin[]): void {
     const { block, clock, options } = this.context;
     const now = clock.now();
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -31,6 +31,20 @@
   assert.deepEqual(cluster.missingReplicas(), []);
 });
 
+test("replicas left behind on two machines are brought together on one", async () => {
+  const cluster = new Cluster(6);
+  cluster.cloud.neverBoots = 0;
+  const service = { shape: "daemon", rank: "prod", flavors: ["big"], area: "east", shards: 1 } as const;
+  cluster.submit(plainJob("wk-000001", service));
+  cluster.submit(plainJob("wk-000002", { shards: 7, rank: "prod", flavors: ["big"], area: "east" }), { runUs: 60 * S });
+  cluster.world.at(40 * S, () => cluster.submit(plainJob("wk-000003", service)));
+  await cluster.run(70 * S);
+  assert.equal(cluster.cloud.running().length, 2);
+  await cluster.run(110 * S);
+  assert.equal(cluster.cloud.running().length, 1);
+  assert.deepEqual(cluster.missingReplicas(), []);
+});
+
 test("a crashed holder's block is taken and its machines known within a moment of the restart", async () => {
   // The next leader used to wait for its next renewal, and machines were only known once they had reported.
   const cluster = new Cluster(5);
