--- /dev/null
+++ b/src/client.ts
@@ -0,0 +1,41 @@
+import { readFileSync } from "node:fs";
+import { seconds, systemClock } from "./transport/clock.js";
+import type { Request } from "./transport/http.js";
+import { NetHttpClient } from "./transport/http-client.js";
+
+/** One line for a person. */
+export class ClientError extends Error {}
+
+const PATIENCE = seconds(5);
+
+const ask = async (server: string, request: Request): Promise<string> => {
+  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(server))
+    throw new ClientError(`${server}: not an address like 10.0.0.1:8080`);
+  const outcome = await new NetHttpClient(systemClock).call(server, request, PATIENCE);
+  if (outcome.kind === "unsent") throw new ClientError(`${server}: cannot be reached`);
+  if (outcome.kind === "lost") throw new ClientError(`${server}: no answer; the request may have been carried out`);
+  if (outcome.status === 200 || outcome.status === 201) return outcome.body;
+  const later = outcome.retryAfterS === null ? "" : `, try again in ${outcome.retryAfterS} s`;
+  throw new ClientError(`status ${outcome.status}: ${outcome.body}${later}`);
+};
+
+const jobPath = (id: string, rest = ""): string => {
+  if (!/^[\w.-]+$/.test(id)) throw new ClientError(`${id}: not a job id`);
+  return `/v2/runs/${id}${rest}`;
+};
+
+export const submitJob = async (server: string, file: string): Promise<string> => {
+  let body: string;
+  try {
+    body = readFileSync(file, "utf8");
+  } catch (error) {
+    throw new ClientError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "cannot be read"}`);
+  }
+  return ask(server, { method: "POST", target: "/v2/runs", body });
+};
+
+export const showJob = async (server: string, id: string): Promise<string> =>
+  ask(server, { method: "GET", target: jobPath(id), body: "" });
+
+export const abortJob = async (server: string, id: string): Promise<string> =>
+  ask(server, { method: "POST", target: jobPath(id, "/abort"), body: "" });
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,9 +2,11 @@
 import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { Command } from "commander";
+import { abortJob, ClientError, showJob, submitJob } from "./client.js";
 import { Controller } from "./coordination/controller.js";
 import { loadOptions } from "./settings/options.js";
 import { loadSettings, SettingsError } from "./settings/settings.js";
+import { countRequests } from "./stats.js";
 import { seconds, systemClock } from "./transport/clock.js";
 import { NetHttpClient, splitAddress } from "./transport/http-client.js";
 import { HttpServer } from "./transport/http-server.js";
@@ -57,7 +59,7 @@
       idleTimeout: seconds(60),
       maxBusy: 512,
     },
-    (request) => controller.handle(request),
+    countRequests(clock, log, (request) => controller.handle(request)),
     (error) => log.error("request failed", { error: describeError(error) }),
   );
   const { host, port } = splitAddress(settings.clientListen);
@@ -83,4 +85,34 @@
     process.stdout.write("settings are valid\n");
   });
 
+interface ClientFlags {
+  readonly server: string;
+}
+
+const client = (
+  name: string,
+  argument: string,
+  text: string,
+  run: (server: string, what: string) => Promise<string>,
+): void => {
+  program
+    .command(`${name} <${argument}>`)
+    .description(text)
+    .requiredOption("--server <host:port>", "address of a controller")
+    .action(async (what: string, flags: ClientFlags) => {
+      try {
+        process.stdout.write(`${await run(flags.server, what)}\n`);
+        process.exit(0);
+      } catch (error) {
+        if (!(error instanceof ClientError)) throw error;
+        process.stderr.write(`rainridge: ${error.message}\n`);
+        process.exit(1);
+      }
+    });
+};
+
+client("submit", "file", "submit the job that a JSON file describes", submitJob);
+client("show", "job", "show a job's state", showJob);
+client("abort", "job", "cancel a job", abortJob);
+
 program.parseAsync().catch((error: unknown) => fail(describeError(error).split("\n")[0] ?? "failed"));
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -39,6 +39,7 @@
 export class HttpServer {
   private readonly server: Server;
   private busy = 0;
+  private readonly open = new Set<Socket>();
 
   constructor(
     private readonly clock: Clock,
@@ -61,7 +62,14 @@
     });
   }
 
+  /** Stops listening; what is open is cut. */
+  close(): Promise<void> {
+    for (const socket of this.open) socket.destroy();
+    return new Promise((resolve) => this.server.close(() => resolve()));
+  }
+
   private serve(socket: Socket): void {
+    this.open.add(socket);
     const parser = new HttpParser("request", { headBytes: 16_384, bodyBytes: 65_536 });
     let working = false;
     let timer: Timer | null = null;
@@ -75,7 +83,10 @@
       arm(this.limits.requestTimeout);
     };
     socket.on("error", () => socket.destroy());
-    socket.on("close", () => timer?.cancel());
+    socket.on("close", () => {
+      timer?.cancel();
+      this.open.delete(socket);
+    });
     arm(this.limits.requestTimeout);
     socket.on("data", (data: Buffer) => {
       if (socket.writableEnded) return;
