--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -50,12 +50,16 @@
   // was chosen again each time the back-off ended.
   const cluster = new Cluster(8);
   cluster.cloud.neverBoots = 0;
+  cluster.cloud.ordinaryRoom = 1;
   const service = { shape: "daemon", rank: "prod", flavors: ["big"], area: "east", cpus: 1 } as const;
   cluster.submit(plainJob("wk-000001", { ...service, shards: 4 }));
   await cluster.run(50 * S);
   for (const { worker } of cluster.cloud.running()) if (worker !== null) worker.sick = true;
   cluster.submit(plainJob("wk-000002", { ...service, shards: 2 }));
-  await cluster.run(70 * S);
+  await cluster.run(150 * S);
+  // Only now is there another machine to be had; by now the back-off outlasts every grudge against this one.
+  cluster.cloud.ordinaryRoom = 8;
+  await cluster.run(120 * S);
   assert.deepEqual(cluster.missingReplicas(), []);
 });
 
