--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -12,8 +12,9 @@
 
 const PREEMPT_PAUSE = seconds(3);
 const MOVE_PAUSE = seconds(0.3);
-/** Work is only stopped for a guarantee when room has not come up by itself. */
-const GUARANTEE_PATIENCE = seconds(3);
+/** Work is only stopped for a guarantee once this share of the time that it has is over: room may come up by itself. */
+const GUARANTEE_PATIENCE = 0.6;
+const GUARANTEE_TIME = seconds(10);
 
 export const rankOf = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
 
@@ -323,6 +324,11 @@
     );
   }
 
+  private patience(): number {
+    const objective = this.context.settings.objectives.find(({ kind }) => kind === "guarantee");
+    return (objective?.within ?? GUARANTEE_TIME) * GUARANTEE_PATIENCE;
+  }
+
   private mayStop(task: Task, victim: Task): boolean {
     const { block, clock } = this.context;
     if (victim.stop !== null || victim.launch.kind !== "seen" || victim.job.cancelled) return false;
@@ -330,7 +336,7 @@
     const other = victim.job.spec;
     // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
     if (other.shape === "service") return false;
-    if (other.team === task.job.spec.team || clock.now() - task.waitingSince < GUARANTEE_PATIENCE) return false;
+    if (other.team === task.job.spec.team || clock.now() - task.waitingSince < this.patience()) return false;
     const guaranteed = this.context.settings.teams.get(other.team)?.guaranteed;
     const beyond = guaranteed === undefined || block.teamUse(other.team).cpu > guaranteed.cpu;
     return beyond && block.withinGuarantee(task.job.spec) && rankOf(other) >= rankOf(task.job.spec);
