--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { abortJob, ClientError, showJob, submitJob } from "../src/client.js";
 import { seconds, systemClock } from "../src/transport/clock.js";
@@ -42,3 +42,58 @@
   assert.deepEqual(seen, ["GET /v2/runs/wk-1", "POST /v2/runs/wk-1/abort"]);
   await server.close();
 });
+
+const closed = (socket: Socket): Promise<string> =>
+  new Promise((resolve) => {
+    let text = "";
+    socket.on("data", (data) => {
+      text += data.toString();
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(text));
+  });
+
+test("slow, idle, surplus and garbled connections end, and too much work is shed", async () => {
+  const port = await freePort();
+  let release = (): void => undefined;
+  const held = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  let enter = (): void => undefined;
+  const entered = new Promise<void>((resolve) => {
+    enter = resolve;
+  });
+  const server = new HttpServer(
+    systemClock,
+    { maxConnections: 3, requestTimeout: seconds(1), idleTimeout: seconds(0.2), maxBusy: 1 },
+    async (request) => {
+      if (request.target === "/held") {
+        enter();
+        await held;
+      }
+      return { status: 200, body: "{}" };
+    },
+    (error) => assert.fail(String(error)),
+  );
+  await server.listen("127.0.0.1", port);
+  const open = (text: string): Socket => {
+    const socket = connect(port, "127.0.0.1");
+    socket.write(text);
+    return socket;
+  };
+  // None of these ever ends on the client's side.
+  assert.equal(await closed(open("GET /slow HTTP/1.1\r\nHost")), "");
+  assert.match(await closed(open("GET /once HTTP/1.1\r\n\r\n")), /^HTTP\/1\.1 200 /);
+  assert.match(await closed(open("nonsense\r\n\r\n")), /^HTTP\/1\.1 400 [\s\S]*Connection: close/);
+  const busy = closed(open("GET /held HTTP/1.1\r\n\r\n"));
+  await entered;
+  assert.match(await closed(open("GET /more HTTP/1.1\r\n\r\n")), /^HTTP\/1\.1 503 [\s\S]*Retry-After: 1/);
+  const sockets = [open("G"), open("G")];
+  const waiting = sockets.map(closed);
+  await Promise.all(sockets.map((socket) => new Promise((resolve) => socket.once("connect", resolve))));
+  assert.equal(await closed(open("GET /surplus HTTP/1.1\r\n\r\n")), "");
+  assert.deepEqual(await Promise.all(waiting), ["", ""]);
+  release();
+  assert.match(await busy, /^HTTP\/1\.1 200 /);
+  await server.close();
+});
