--- a/src/main.ts
+++ b/src/main.ts
@@ -70,6 +70,8 @@
 
 const program = new Command("rainridge")
   .description("A cluster scheduler: serves as one controller of a deployment")
+  // Else the options of `check` would be taken for those of serving.
+  .enablePositionalOptions()
   .version(version())
   .option("--config <file>", "settings of the platform (TOML)")
   .option("--options <file>", "the operators' own settings (JSON); or the variable RAINRIDGE_OPTIONS")
