Count a worker's lease from its session, bound sockets and asking, leave cut zones be

Deletions of more than 100 names were refused for ever, so a cut zone's machines stayed until their lease ran out. An unreachable zone kept the time of grace after a handover from ending. Polls and the watch may use set shares of the state service's requests.

--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -1,13 +1,20 @@
 import type { Whole } from "../protocol/json.js";
 import type { Change, Entry } from "../protocol/state.js";
-import { type Clock, type Micros, ms, sleep } from "../transport/clock.js";
+import { type Clock, type Micros, ms, seconds, sleep } from "../transport/clock.js";
 import type { Log } from "../transport/log.js";
 import type { Store } from "./store.js";
 
 /** Short, so that an idle watch still proves every second or so that nothing has been missed. */
 const WAIT = ms(1_000);
+/** All controllers together spend these shares of the state service's requests on following and on questions. */
+export const FOLLOW_SHARE = 0.3;
+export const SYNC_SHARE = 0.25;
 const MIN_GAP = ms(15);
 
+/** Between two requests of one controller, so that all of them keep to the share. */
+export const gapFor = (share: number, requestsPerS: number, controllers: number): Micros =>
+  Math.max(MIN_GAP, seconds(controllers / (share * requestsPerS))) as Micros;
+
 /** This process's copy of all that is current below one prefix, fed by a watch. */
 export class View {
   readonly entries = new Map<string, Entry>();
@@ -15,6 +22,7 @@
   private readonly listeners: ((change: Change) => void)[] = [];
   private running: Promise<boolean> | null = null;
   private queued: Promise<boolean> | null = null;
+  private syncedAt: Micros = 0 as Micros;
   /** Everything changed up to this moment is known here. */
   freshAt: Micros | null = null;
 
@@ -23,6 +31,8 @@
     private readonly prefix: string,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly followGap: Micros,
+    private readonly syncGap: Micros,
   ) {}
 
   get loaded(): boolean {
@@ -41,7 +51,7 @@
         const good = await this.catchUp(this.revision, WAIT);
         if (!good) await sleep(this.clock, ms(150));
       }
-      const gap = sent + MIN_GAP - this.clock.now();
+      const gap = sent + this.followGap - this.clock.now();
       if (gap > 0) await sleep(this.clock, gap as Micros);
     }
   }
@@ -55,6 +65,12 @@
     const before = this.running ?? Promise.resolve(true);
     const next = before
       .then(() => {
+        // Hundreds of polls a second share few requests: without a pause they took the whole budget.
+        const gap = this.syncedAt + this.syncGap - this.clock.now();
+        return gap > 0 ? sleep(this.clock, gap as Micros) : undefined;
+      })
+      .then(() => {
+        this.syncedAt = this.clock.now();
         this.queued = null;
         this.running = next;
         return this.revision === null ? false : this.catchUp(this.revision, 0 as Micros);
--- a/src/client.ts
+++ b/src/client.ts
@@ -11,7 +11,7 @@
 const ask = async (server: string, request: Request): Promise<string> => {
   if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(server))
     throw new ClientError(`${server}: not an address like 10.0.0.1:8080`);
-  const outcome = await new NetHttpClient(systemClock).call(server, request, PATIENCE);
+  const outcome = await new NetHttpClient(systemClock, 1).call(server, request, PATIENCE);
   if (outcome.kind === "unsent") throw new ClientError(`${server}: cannot be reached`);
   if (outcome.kind === "lost") throw new ClientError(`${server}: no answer; the request may have been carried out`);
   if (outcome.status === 200 || outcome.status === 201) return outcome.body;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,7 +1,7 @@
 import { Committer } from "../bookkeeping/committer.js";
 import { CURRENT, homeBlock, TYPES_KEY } from "../bookkeeping/records.js";
 import { Store } from "../bookkeeping/store.js";
-import { View } from "../bookkeeping/view.js";
+import { FOLLOW_SHARE, gapFor, SYNC_SHARE, View } from "../bookkeeping/view.js";
 import { type MachineType, readTypes } from "../protocol/cloud.js";
 import { formatJson, Malformed, parseJson } from "../protocol/json.js";
 import { type Report, readReport, redirectAnswer, reportAnswer } from "../protocol/worker.js";
@@ -49,7 +49,15 @@
       },
       random,
     );
-    const view = new View(store, CURRENT, clock, log);
+    const { rps } = settings.state;
+    const view = new View(
+      store,
+      CURRENT,
+      clock,
+      log,
+      gapFor(FOLLOW_SHARE, rps, settings.controllers),
+      gapFor(SYNC_SHARE, rps, settings.controllers),
+    );
     const committer = new Committer(store, clock, random);
     this.services = { clock, log, settings, options, http, store, committer, view, random };
     this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -31,6 +31,9 @@
       if (report.session < machine.session) return "stale";
       if (report.session === machine.session && report.sequence <= machine.sequence) return "old";
     }
+    // A session begins with a whole lease, and may have begun just now: counted from when the machine was rented
+    // or found, the leases of workers that had not yet been answered here seemed over while they ran tasks.
+    if (report.session !== machine.session) machine.leaseBase = clock.now();
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.address = report.address;
--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -23,6 +23,9 @@
 /** Machines looked at in one go for whether their replicas could go elsewhere. */
 const MOVE_TRIES = 4;
 const MAX_DELETE = 100;
+/** Estimates are often wrong by half, so not all of a job is left to what ends soon. */
+const ABSORB_MOST = 0.8;
+const PATIENCE_SHARE = 0.5;
 const RECENT_JOBS = 30;
 const MOVE_MOST = 10;
 const MOVE_LOOK = seconds(2);
@@ -48,6 +51,14 @@
   readonly since: Micros;
 }
 
+interface Ending {
+  readonly left: number;
+  readonly cpu: number;
+  readonly typeName: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
 interface ClassHistory {
   spec: JobSpec;
   readonly sizes: number[];
@@ -63,6 +74,8 @@
   private counter = 0;
   private readonly refusals = new Map<string, { until: Micros; count: number }>();
   private readonly history = new Map<string, ClassHistory>();
+  /** Zones that cannot be reached as a whole: nothing is rented there, and room is made elsewhere. */
+  cutZones: ReadonlySet<string> = new Set();
   private stopped = false;
   private listed = false;
   private consolidateAfter: Micros = 0 as Micros;
@@ -156,8 +169,15 @@
 
   /** The answer proves that the machines and all that was on them are gone. */
   async remove(machines: readonly Machine[]): Promise<void> {
-    const { block, clock, lease, log } = this.context;
     for (const machine of machines) machine.deleting = true;
+    // The cloud takes so many names at once; a longer list was refused for ever, and a zone's machines stayed.
+    const parts: Machine[][] = [];
+    for (let at = 0; at < machines.length; at += MAX_DELETE) parts.push(machines.slice(at, at + MAX_DELETE));
+    await Promise.all(parts.map((part) => this.removePart(part)));
+  }
+
+  private async removePart(machines: readonly Machine[]): Promise<void> {
+    const { block, clock, lease, log } = this.context;
     for (let tries = 0; !this.stopped; tries += 1) {
       if (lease.valid()) {
         const reply = await this.cloud.delete(machines.map((machine) => machine.name));
@@ -182,6 +202,7 @@
     const bins = this.bins();
     const before = bins.length;
     this.packWaiting(bins);
+    if (this.cutZones.size > 0) this.packCutOff(bins);
     this.packHeadroom(bins);
     this.rent(bins.slice(before));
     this.giveBack(bins);
@@ -229,6 +250,7 @@
 
   private packWaiting(bins: Bin[]): void {
     const { block, settings } = this.context;
+    const soon = this.endings();
     for (const job of this.rounds.waiting()) {
       const { spec } = job;
       let count =
@@ -237,10 +259,72 @@
       if (limit !== null && spec.demand.cpu > 0) {
         count = Math.min(count, Math.max(0, Math.floor((limit - block.teamUse(spec.team).cpu) / spec.demand.cpu)));
       }
+      count -= this.absorbed(spec, count, soon);
       this.pack(spec, count, zoneCounts(job), bins);
     }
   }
 
+  /** Tasks that ought to end soon, the soonest first: what follows on their room need not wait for a boot. */
+  private endings(): Ending[] {
+    const now = this.context.clock.now();
+    const list: Ending[] = [];
+    for (const { spec, placed } of this.context.block.jobs.values()) {
+      if (spec.shape === "service" || spec.estimateS <= 0) continue;
+      for (const { runningSince, on } of placed) {
+        if (runningSince === null || on === null || on.type === null || on.drain !== null) continue;
+        const left = Math.max(0, runningSince + seconds(spec.estimateS) - now);
+        list.push({ left, cpu: spec.demand.cpu, typeName: on.typeName, zone: on.zone, spot: on.spot });
+      }
+    }
+    return list.sort((a, b) => a.left - b.left);
+  }
+
+  /** So many of the job's tasks can wait for room that comes free in time, as its class may wait. */
+  private absorbed(spec: JobSpec, count: number, soon: Ending[]): number {
+    const patience = this.patience(spec);
+    if (patience <= 0 || spec.shape !== "array" || spec.demand.cpu <= 0) return 0;
+    const most = Math.floor(count * ABSORB_MOST);
+    let room = 0;
+    let kept = 0;
+    let at = 0;
+    for (; at < soon.length && room < most * spec.demand.cpu; at += 1) {
+      const ending = soon[at];
+      if (ending === undefined || ending.left > patience) break;
+      if (allows(spec, ending.typeName, ending.zone, ending.spot)) room += ending.cpu;
+      else {
+        soon[kept] = ending;
+        kept += 1;
+      }
+    }
+    soon.splice(kept, at - kept);
+    return Math.min(most, Math.floor(room / spec.demand.cpu));
+  }
+
+  /** Half of the shortest time in which tasks of the class are expected to start. */
+  private patience(spec: JobSpec): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const { kind, jobClass, within } of this.context.settings.objectives) {
+      if (kind === "wait" && jobClass === spec.jobClass && within !== null) least = Math.min(least, within);
+    }
+    return Number.isFinite(least) ? least * PATIENCE_SHARE : 0;
+  }
+
+  /** Replicas that cannot be reached will have to start elsewhere the moment their worker's lease is over. */
+  private packCutOff(bins: Bin[]): void {
+    const missing = new Map<Job, number>();
+    for (const { zone, tasks } of this.context.block.machines.values()) {
+      if (!this.cutZones.has(zone)) continue;
+      for (const { job } of tasks) {
+        if (job.spec.shape === "service") missing.set(job, (missing.get(job) ?? 0) + 1);
+      }
+    }
+    for (const [job, count] of missing) {
+      const counts = zoneCounts(job);
+      for (const zone of this.cutZones) counts.delete(zone);
+      this.pack(job.spec, count, counts, bins);
+    }
+  }
+
   /** A start within a second cannot wait for a boot: such classes find the room for a usual job standing. */
   private packHeadroom(bins: Bin[]): void {
     for (const { spec, count } of this.standing()) {
@@ -318,7 +402,7 @@
         for (const spot of [false, true]) {
           const option: Option = { type, zone, spot };
           if (!allows(spec, type.name, zone, spot) || !zoneAllowed(spec, counts, zone)) continue;
-          if ((this.refusals.get(optionKey(option))?.until ?? 0) > now) continue;
+          if ((this.refusals.get(optionKey(option))?.until ?? 0) > now || this.cutZones.has(zone)) continue;
           const cost = (priceOf(option) / fit) * (1 + 0.2 * shareOf(option));
           if (best === null || cost < best.cost) best = { option, cost };
         }
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -194,6 +194,29 @@
     };
   }
 
+  /** For the log: what each pool holds, and what waits. */
+  summary(): { readonly pools: Record<string, string>; readonly waiting: Record<string, number> } {
+    const pools = new Map<string, { machines: number; free: number; replicas: number; others: number }>();
+    for (const [machine, type] of this.ready()) {
+      const key = `${machine.typeName}/${machine.zone}/${machine.spot ? "spot" : "ordinary"}`;
+      const pool = pools.get(key) ?? { machines: 0, free: 0, replicas: 0, others: 0 };
+      pools.set(key, pool);
+      pool.machines += 1;
+      pool.free += (type.capacity.cpu - machine.used.cpu) / 1_000;
+      pool.replicas += machine.replicas;
+      pool.others += machine.tasks.size - machine.replicas;
+    }
+    const waiting: Record<string, number> = {};
+    for (const job of this.waiting()) {
+      waiting[job.spec.jobClass] = (waiting[job.spec.jobClass] ?? 0) + job.waiting.size;
+    }
+    const text = [...pools].map(([key, { machines, free, replicas, others }]) => [
+      key,
+      `${machines} machines, ${Math.round(free)} CPUs free, ${replicas} replicas, ${others} other tasks`,
+    ]);
+    return { pools: Object.fromEntries(text), waiting };
+  }
+
   /** Jobs with something to place now, most important and largest first. */
   waiting(): Job[] {
     const { block, clock } = this.context;
@@ -211,6 +234,7 @@
       rank: rankOf(job.spec),
       borrowed: block.withinGuarantee(job.spec) ? 0 : 1,
       size: weight(job.spec.demand, reference),
+      short: job.spec.shape === "service" ? 1 - job.placed.size / job.spec.tasks : 0,
       due: job.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : job.seenAt + seconds(job.spec.deadlineS),
     }));
     keyed.sort(
@@ -218,6 +242,9 @@
         a.rank - b.rank ||
         a.borrowed - b.borrowed ||
         b.size - a.size ||
+        // Where room is short for good, a replica is worth most to a service that has few of its own.
+        b.short - a.short ||
+        (a.short > 0 ? a.job.spec.tasks - b.job.spec.tasks : 0) ||
         a.due - b.due ||
         a.job.seenAt - b.job.seenAt ||
         (a.job.spec.id < b.job.spec.id ? -1 : 1),
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -18,7 +18,20 @@
 const ROUND_GAP = ms(10);
 /** Time to ask all machines for their state after a handover; before, silence says nothing. */
 const SETTLE = seconds(5);
+/** Without news from the state service for so long, silence elsewhere says little. */
+const OWN_FAULT = seconds(3);
+const SETTLE_MOST = seconds(12);
 const PROBE_TIME = seconds(1.7);
+/** A zone counts as cut off when so many reports of it are missing, and not before this time. */
+const CUT_REPORTS = 8;
+const CUT_LEAST = seconds(1.5);
+/** Silent machines asked in one tick: a zone's worth at once would take all connections. */
+const MAX_PROBES = 64;
+const SUMMARY_PERIOD = seconds(30);
+/** Machines asked for their state at once after a handover. */
+const MAX_INQUIRIES = 48;
+/** A round leaves this many times its own length to all else, above all to reports. */
+const ROUND_REST = 4;
 const TYPES_PERIOD = seconds(30);
 /** So many bytes of a range's value a task may take: attempt, machine name and punctuation. */
 const BYTES_PER_TASK = 48;
@@ -43,8 +56,13 @@
   private lastRound: Micros = 0 as Micros;
   /** When workers were last able to reach us without a gap. */
   private settledFrom: Micros;
+  private readonly takenAt: Micros;
   private wasValid = true;
   private typesAt: Micros = 0 as Micros;
+  private summedAt: Micros;
+  private readonly inquiries: Machine[] = [];
+  private inquiring = 0;
+  private roundGap: Micros = ROUND_GAP;
 
   constructor(
     private readonly services: Services,
@@ -57,7 +75,9 @@
     const { clock, settings } = services;
     const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.valueBytes / BYTES_PER_TASK)));
     const block = new Block(clock, rangeSize, settings.teams, () => types);
+    this.takenAt = clock.now();
     this.settledFrom = (clock.now() + SETTLE) as Micros;
+    this.summedAt = clock.now();
     this.context = {
       ...services,
       block,
@@ -70,7 +90,7 @@
       },
       wakeRound: () => this.wakeRound(ROUND_GAP),
       wakeCommands: (machine) => this.wakeCommands(machine),
-      inquire: (machine) => void this.guard(this.commander.inquire(machine)),
+      inquire: (machine) => this.inquire(machine),
     };
     this.recorder = new Recorder(this.context);
     this.observer = new Observer(this.context, this.recorder);
@@ -193,6 +213,35 @@
     );
   }
 
+  /** Bounded: a thousand machines asked at once took all sockets and all processor time from what was running. */
+  private inquire(machine: Machine): void {
+    if (this.inquiries.includes(machine)) return;
+    // Those that may have work on them first: what they ran is either still there or to be placed anew.
+    if (machine.tasks.size > 0) this.inquiries.unshift(machine);
+    else this.inquiries.push(machine);
+    this.nextInquiry();
+  }
+
+  private nextInquiry(): void {
+    while (!this.stopped && this.inquiring < MAX_INQUIRIES) {
+      const machine = this.inquiries.shift();
+      if (machine === undefined) return;
+      // Its own report came first.
+      if (machine.session !== null && machine.seenToken >= firstToken(this.lease)) continue;
+      this.inquiring += 1;
+      void this.guard(this.commander.inquire(machine)).then(() => {
+        this.inquiring -= 1;
+        // Silence says nothing before everybody has been asked once; a zone that is cut off is asked again and
+        // again, and must not keep it from being heard.
+        const asked = (this.services.clock.now() + PROBE_TIME) as Micros;
+        if (this.inquiries.length > 0 && asked < this.takenAt + SETTLE_MOST) {
+          this.settledFrom = Math.max(this.settledFrom, asked) as Micros;
+        }
+        this.nextInquiry();
+      });
+    }
+  }
+
   private wakeCommands(machine: Machine): void {
     this.services.clock.after(0 as Micros, () => {
       if (!this.stopped) void this.guard(this.commander.send(machine));
@@ -202,7 +251,7 @@
   private wakeRound(delay: Micros): void {
     if (this.stopped) return;
     const { clock } = this.services;
-    const due = Math.max(clock.now() + delay, this.lastRound + ROUND_GAP) as Micros;
+    const due = Math.max(clock.now() + delay, this.lastRound + this.roundGap) as Micros;
     if (this.roundTimer !== null && this.roundDue <= due) return;
     this.roundTimer?.cancel();
     this.roundDue = due;
@@ -214,6 +263,7 @@
       } catch (error) {
         this.services.log.error("round failed", { error: describeError(error) });
       }
+      this.roundGap = Math.max(ROUND_GAP, ROUND_REST * (clock.now() - this.lastRound)) as Micros;
       this.wakeRound(ms(this.services.options.roundMs));
     });
   }
@@ -231,6 +281,10 @@
         this.silence();
         for (const machine of this.context.block.machines.values()) this.commander.drain(machine);
         this.refreshTypes();
+        if (clock.now() - this.summedAt > SUMMARY_PERIOD) {
+          this.summedAt = clock.now();
+          log.info("room", { ...this.rounds.summary(), jobs: this.context.block.jobs.size });
+        }
       }
     } catch (error) {
       log.error("tick failed", { error: describeError(error) });
@@ -254,7 +308,7 @@
   /** A machine that misses its reports is probed, and given up if it does not answer: the cloud's answer to the
    * deletion is a far quicker proof that its tasks are gone than the end of its lease. */
   private silence(): void {
-    const { clock, settings, options, log } = this.services;
+    const { clock, settings, options, log, view } = this.services;
     const now = clock.now();
     if (now < this.settledFrom) return;
     const limit = settings.workers.report * options.silentReports;
@@ -263,18 +317,44 @@
       (machine) => (machine.state === "up" || machine.tasks.size > 0) && !machine.deleting,
     );
     const silent = up.filter((machine) => now - machine.lastHeard > limit);
+    let probes = 0;
     for (const machine of silent) {
+      if (probes >= MAX_PROBES) break;
       if (machine.probed < machine.lastHeard) {
+        probes += 1;
         machine.probed = now;
         const probe = machine.session === null ? this.commander.inquire(machine) : this.commander.send(machine, true);
         void this.guard(probe);
       }
     }
     const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
-    // When most are silent, the fault is more likely on our side.
-    if (dead.length === 0 || dead.length > Math.max(2, up.length * 0.6)) return;
-    log.info("machines silent", { machines: dead.map((machine) => machine.name) });
-    void this.guard(this.rental.remove(dead));
+    const zones = this.cutZones(up, limit);
+    this.rental.cutZones = zones;
+    // When most are silent, or the state service is, too, the fault is more likely on our side.
+    const own = dead.length > Math.max(2, up.length * 0.6) || now - (view.freshAt ?? now) > OWN_FAULT;
+    if (dead.length === 0 || own) return;
+    // Replicas in a zone that is cut off run on for as long as their worker's lease; the cut may well be over
+    // before, and no proof that they are gone is worth ending them.
+    const lost = dead.filter((machine) => machine.replicas === 0 || !zones.has(machine.zone));
+    if (lost.length === 0) return;
+    log.info("machines silent", { machines: lost.map((machine) => machine.name), cut: [...zones] });
+    void this.guard(this.rental.remove(lost));
+  }
+
+  /** Zones of which nothing at all has been heard for a time in which many of their machines ought to have reported. */
+  private cutZones(up: readonly Machine[], limit: number): ReadonlySet<string> {
+    const { clock, settings } = this.services;
+    const zones = new Map<string, { machines: number; newest: Micros }>();
+    for (const { zone, lastHeard } of up) {
+      const known = zones.get(zone) ?? { machines: 0, newest: 0 as Micros };
+      zones.set(zone, { machines: known.machines + 1, newest: Math.max(known.newest, lastHeard) as Micros });
+    }
+    const cut = [...zones].filter(([, { machines, newest }]) => {
+      const quiet = Math.min(limit, Math.max(CUT_LEAST, (CUT_REPORTS * settings.workers.report) / machines));
+      return machines >= 3 && clock.now() - newest > quiet;
+    });
+    // Of nobody at all: then it is us who hear nothing.
+    return new Set(cut.length === zones.size ? [] : cut.map(([zone]) => zone));
   }
 
   private refreshTypes(): void {
--- a/src/main.ts
+++ b/src/main.ts
@@ -13,6 +13,10 @@
 import { describeError } from "./transport/log.js";
 import { createLog } from "./transport/pino-log.js";
 
+/** Of the limit on connections; the rest is for requests of our own under way. */
+const INCOMING_SHARE = 0.8;
+const IDLE_SHARE = 0.08;
+
 interface ServeFlags {
   readonly config?: string;
   readonly options?: string;
@@ -47,14 +51,16 @@
   process.on("uncaughtException", (error) => log.error("uncaught exception", { error: describeError(error) }));
   process.on("unhandledRejection", (error) => log.error("unhandled rejection", { error: describeError(error) }));
   const clock = systemClock;
-  const outside = { clock, log, http: new NetHttpClient(clock), random: Math.random };
+  const { maxConnections } = settings.quota;
+  // A thousand machines report here, and idle connections to all of them as well would pass the limit.
+  const http = new NetHttpClient(clock, Math.max(16, Math.floor(maxConnections * IDLE_SHARE)));
+  const outside = { clock, log, http, random: Math.random };
   const incarnation = randomBytes(8).toString("hex");
   const controller = new Controller(outside, settings, options, incarnation);
   const server = new HttpServer(
     clock,
     {
-      // The rest is for connections of our own.
-      maxConnections: Math.max(16, Math.floor(settings.quota.maxConnections * 0.8)),
+      maxConnections: Math.max(16, Math.floor(maxConnections * INCOMING_SHARE)),
       requestTimeout: seconds(10),
       idleTimeout: seconds(60),
       maxBusy: 512,
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -17,13 +17,19 @@
 interface Idle {
   readonly socket: Socket;
   readonly timer: Timer;
+  readonly drop: () => void;
 }
 
 /** Keep-alive client with one request at a time on each connection. */
 export class NetHttpClient implements HttpClient {
   private readonly idle = new Map<string, Idle[]>();
+  private idleCount = 0;
 
-  constructor(private readonly clock: Clock) {}
+  /** `maxIdle`: over all hosts; beyond it the connection that has been idle longest is closed. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly maxIdle: number,
+  ) {}
 
   async call(address: string, request: Request, timeout: Micros): Promise<Outcome> {
     const deadline = this.clock.now() + timeout;
@@ -36,8 +42,10 @@
   private take(address: string): Socket | null {
     const list = this.idle.get(address);
     for (let entry = list?.pop(); entry !== undefined; entry = list?.pop()) {
+      this.idleCount -= 1;
       entry.timer.cancel();
       entry.socket.removeAllListeners();
+      if (list?.length === 0) this.idle.delete(address);
       if (!entry.socket.destroyed && entry.socket.writable) return entry.socket;
       entry.socket.destroy();
     }
@@ -57,7 +65,9 @@
       timer.cancel();
       socket.destroy();
       const at = list.findIndex((entry) => entry.socket === socket);
-      if (at >= 0) list.splice(at, 1);
+      if (at < 0) return;
+      list.splice(at, 1);
+      this.idleCount -= 1;
       if (list.length === 0 && this.idle.get(address) === list) this.idle.delete(address);
     };
     const timer = this.clock.after(IDLE_TIMEOUT, drop);
@@ -65,7 +75,17 @@
     socket.on("close", drop);
     socket.on("end", drop);
     socket.on("data", drop);
-    list.push({ socket, timer });
+    list.push({ socket, timer, drop });
+    this.idleCount += 1;
+    // Hosts are kept in the order in which they were last used.
+    this.idle.delete(address);
+    this.idle.set(address, list);
+    if (this.idleCount <= this.maxIdle) return;
+    for (const [, [oldest]] of this.idle) {
+      if (oldest === undefined) continue;
+      oldest.drop();
+      return;
+    }
   }
 
   private open(address: string, timeout: Micros): Promise<Socket | null> {
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Random } from "./random.js";
-import { Cluster, randomJob } from "./sim/cluster.js";
+import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
 import { S } from "./sim/world.js";
 
 const SEEDS = 24;
@@ -90,3 +90,67 @@
 test("all rules hold through random days with overlapping troubles", { timeout: 600_000 }, async () => {
   for (let seed = 1; seed <= SEEDS; seed += 1) await day(seed);
 });
+
+/** Settings of a deployment of some hundreds of machines. */
+const grown = (text: string): string =>
+  text
+    .replace("report_s = 3.0", "report_s = 6.0")
+    .replace("lease_s = 20.0", "lease_s = 36.0")
+    .replace("cancel_s = 45.0", "cancel_s = 66.0")
+    .replace("txn_ops = 12", "txn_ops = 24")
+    .replace("max_connections = 500", "max_connections = 3500");
+
+const largeDay = async (seed: number, troubles: (cluster: Cluster) => void): Promise<Cluster> => {
+  const cluster = new Cluster(seed, {}, grown);
+  const random = new Random(seed + 500);
+  cluster.cloud.spotRoom = 80;
+  cluster.cloud.ordinaryRoom = 80;
+  for (let number = 0; number < 70; number += 1) {
+    const service = number % 2 === 0;
+    const job = plainJob(`wk-${String(number).padStart(6, "0")}`, {
+      ...(service
+        ? { shape: "daemon", jobclass: "web", rank: "prod", spread: true, cpus: 1 }
+        : { loaner: true, cpus: 4 }),
+      shards: service ? random.pick([2, 8, 9]) : random.int(20, 110),
+      bundle: random.pick(["a", "b", "c", "d"]),
+    });
+    const at = number < 30 ? 2 * S : random.int(2 * S, 100 * S);
+    cluster.world.at(at, () => cluster.submit(job, { runUs: service ? null : random.int(10, 50) * S }));
+    if (random.chance(0.1)) cluster.world.at(at + random.int(0, 60 * S), () => cluster.cancel(job.ref));
+  }
+  troubles(cluster);
+  await cluster.run(420 * S);
+  assert.deepEqual(cluster.errors, [], `seed ${seed}: errors logged`);
+  assert.deepEqual(cluster.unfinished(), [], `seed ${seed}: never finished`);
+  assert.deepEqual(cluster.missingReplicas(), [], `seed ${seed}: replicas missing at the end`);
+  assert.ok(cluster.checker.starts > 1_500, `seed ${seed}: ${cluster.checker.starts} starts`);
+  return cluster;
+};
+
+test("all rules hold on hundreds of machines through waves, hangs, a zone cut off and crashes of all", {
+  timeout: 600_000,
+}, async () => {
+  await largeDay(1, (cluster) => {
+    cluster.world.at(50 * S, () => cluster.cutZone("east", 40 * S, "hold"));
+    cluster.world.at(60 * S, () => cluster.crash(0));
+    cluster.world.at(120 * S, () => {
+      for (const machine of cluster.cloud.running()) if (machine.info.spot) cluster.cloud.take(machine.ref);
+    });
+    cluster.world.at(130 * S, () => cluster.state.outage(20 * S));
+    cluster.world.at(146 * S, () => {
+      for (const at of [0, 1, 2]) cluster.crash(at);
+    });
+  });
+  await largeDay(2, (cluster) => {
+    cluster.world.at(40 * S, () => {
+      cluster.cloud.running().forEach(({ worker }, at) => {
+        if (at % 4 === 0) worker?.hang(50 * S);
+      });
+    });
+    cluster.world.at(70 * S, () => cluster.cutZone("west", 60 * S, "reset"));
+    cluster.world.at(75 * S, () => cluster.cutFromState(0, 40 * S, "hold"));
+    cluster.world.at(90 * S, () => {
+      cluster.cloud.outageUntil = cluster.world.now + 20 * S;
+    });
+  });
+});
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -116,6 +116,28 @@
   assert.equal(task.launch.kind, "unsure");
 });
 
+test("a worker that answers before its first report was answered has a whole lease", async () => {
+  const { world, block, context, recorder } = makeBlock(1);
+  const machine = [...block.machines.values()][0];
+  assert.ok(machine !== undefined);
+  Object.assign(machine, { session: null, state: "booting" });
+  await world.run(20_000_000, nothing);
+  new Observer(context, recorder).observe(machine, {
+    machine: machine.name,
+    address: "10.1.0.1:9000",
+    type: "big",
+    zone: "east",
+    spot: false,
+    session: 1,
+    sequence: 1,
+    token: 65_536,
+    noticeS: null,
+    tasks: [],
+  });
+  // From when it was rented, its lease would be taken for over long before the worker ends anything.
+  assert.equal(machine.leaseBase, context.clock.now());
+});
+
 test("whoever is told of a key read in a list can see all the others", async () => {
   const world = new World();
   const clock = new HostClock(world, 1, 0);
@@ -125,7 +147,7 @@
     list: async () => ({ kind: "ok", value: { entries, revision: 5 } }),
     watch: () => new Promise(() => undefined),
   } as unknown as Store;
-  const view = new View(store, "c/", clock, quiet);
+  const view = new View(store, "c/", clock, quiet, 1_000 as Micros, 1_000 as Micros);
   const seen: number[] = [];
   view.onChange(() => seen.push(view.entries.size));
   void view.follow();
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -76,8 +76,10 @@
 
 test("a crashed holder's block is taken and its machines known within a moment of the restart", async () => {
   // The next leader used to wait for its next renewal, and machines were only known once they had reported.
+  // Three of four CPUs are taken, so that there is room whatever was rented.
   const cluster = new Cluster(5);
-  for (let at = 0; at < 6; at += 1) cluster.submit(plainJob(`wk-00000${at}`, { shards: 4 }), { runUs: 200 * S });
+  for (let at = 0; at < 6; at += 1)
+    cluster.submit(plainJob(`wk-00000${at}`, { shards: 4, cpus: 3 }), { runUs: 200 * S });
   await cluster.run(60 * S);
   for (const at of [0, 1, 2]) cluster.crash(at);
   // Longer than the restart takes, and far shorter than workers need to come by on their own.
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -176,6 +176,14 @@
     this.network.cut((a, b) => a === address && ADDRESSES.includes(b), forUs, mode);
   }
 
+  /** Cuts all machines of a zone off from every controller. */
+  cutZone(zone: string, forUs: number, mode: "hold" | "reset"): void {
+    const inside = new Set(
+      this.cloud.running().flatMap(({ info, worker }) => (info.zone === zone && worker ? [worker.host.address] : [])),
+    );
+    this.network.cut((a, b) => inside.has(a) && ADDRESSES.includes(b), forUs, mode);
+  }
+
   async run(forUs: number): Promise<void> {
     try {
       await this.world.run(this.world.now + forUs, () => this.checker.tick());
