--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -300,11 +300,15 @@
     return Math.min(most, Math.floor(room / spec.demand.cpu));
   }
 
-  /** Half of the shortest time in which tasks of the class are expected to start. */
+  /** Half of the shortest time in which tasks of the class, or of a team with a guarantee, are expected to start. */
   private patience(spec: JobSpec): number {
+    const { settings } = this.context;
+    const guaranteed = settings.teams.get(spec.team)?.guaranteed;
+    const entitled = guaranteed !== undefined && guaranteed.cpu + guaranteed.gpu > 0;
     let least = Number.POSITIVE_INFINITY;
-    for (const { kind, jobClass, within } of this.context.settings.objectives) {
-      if (kind === "wait" && jobClass === spec.jobClass && within !== null) least = Math.min(least, within);
+    for (const { kind, jobClass, within } of settings.objectives) {
+      const counts = (kind === "wait" && jobClass === spec.jobClass) || (kind === "guarantee" && entitled);
+      if (counts && within !== null) least = Math.min(least, within);
     }
     return Number.isFinite(least) ? least * PATIENCE_SHARE : 0;
   }
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -16,7 +16,9 @@
 const MOVE_PAUSE = seconds(0.3);
 /** After a look in vain; and so many looks a round. */
 const PREEMPT_RETRY = seconds(1);
-const MAX_PREEMPTIONS = 2;
+const MAX_PREEMPTIONS = 24;
+/** Stopped tasks that save nothing leave within moments. */
+const PROMISE = seconds(1);
 /** Work is only stopped for a guarantee once this share of the time that it has is over: room may come up by itself. */
 const GUARANTEE_PATIENCE = 0.6;
 const GUARANTEE_TIME = seconds(10);
@@ -128,6 +130,7 @@
 /** Placement rounds: what is waiting, in order, each on the machine that Algorithm 1 chooses. */
 export class Rounds {
   readonly work: Work = { visited: 0 };
+  private readonly promised = new Map<Machine, { free: Demand; readonly until: Micros }>();
 
   constructor(
     private readonly context: BlockContext,
@@ -260,10 +263,36 @@
     for (const job of jobs) {
       let left = this.place(job, floor);
       while (left === "more") left = this.place(job, floor);
-      if (left !== null && left !== "limit" && job.spec.shape !== "gang") this.preempt(left, floor);
+      if (left !== null && left !== "limit" && job.spec.shape !== "gang") this.makeRoom(left, floor);
     }
   }
 
+  /** For the task that found no room and for the rest of its job: after a wave hundreds wait at once. */
+  private makeRoom(left: Task, floor: Floor): void {
+    const now = this.context.clock.now();
+    const counts = zoneCounts(left.job);
+    for (const [machine, { until }] of this.promised) if (until <= now) this.promised.delete(machine);
+    for (const task of left.job.waiting) {
+      if (floor.preemptions >= MAX_PREEMPTIONS) return;
+      if (task.notBefore > now || task.preemptAfter > now) continue;
+      if (!this.usePromised(task, counts) && !this.preempt(task, floor, counts)) return;
+    }
+  }
+
+  /** Room that stopped tasks are about to leave, beyond what they were stopped for. */
+  private usePromised(task: Task, counts: Map<string, number>): boolean {
+    const { spec } = task.job;
+    for (const [machine, room] of this.promised) {
+      if (!fits(spec.demand, room.free) || !allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
+      if (!zoneAllowed(spec, counts, machine.zone)) continue;
+      room.free = minus(room.free, spec.demand);
+      counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+      task.preemptAfter = (this.context.clock.now() + PREEMPT_PAUSE) as Micros;
+      return true;
+    }
+    return false;
+  }
+
   /** Places a job's waiting tasks. The first one for which there is no room, if any, comes back. */
   private place(job: Job, floor: Floor): Task | "more" | "limit" | null {
     const { block, clock } = this.context;
@@ -460,15 +489,13 @@
   }
 
   /** Stops the cheapest set of tasks on one machine that makes room for the task, where the rules allow it. */
-  private preempt(task: Task, floor: Floor): void {
+  private preempt(task: Task, floor: Floor, counts: Map<string, number>): boolean {
     const { clock, log } = this.context;
     const { spec } = task.job;
     const now = clock.now();
     // Looks at every task of every machine, so it is not done for all that wait in each round.
-    if (task.preemptAfter > now || floor.preemptions >= MAX_PREEMPTIONS) return;
     floor.preemptions += 1;
-    const counts = zoneCounts(task.job);
-    let best: { victims: Task[]; cost: number; machine: Machine } | null = null;
+    let best: { victims: Task[]; cost: number; machine: Machine; free: Demand } | null = null;
     const ran = (victim: Task): number => (victim.runningSince === null ? 0 : now - victim.runningSince);
     for (const machine of floor.machines) {
       if (machine.type === null || !allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
@@ -490,12 +517,15 @@
         cost += ran(victim) + seconds(1);
       }
       if (victims.length > 0 && fits(spec.demand, free) && (best === null || cost < best.cost)) {
-        best = { victims, cost, machine };
+        best = { victims, cost, machine, free };
       }
     }
     task.preemptAfter = (now + (best === null ? PREEMPT_RETRY : PREEMPT_PAUSE)) as Micros;
-    if (best === null) return;
+    if (best === null) return false;
     const { machine } = best;
+    const until = (now + PROMISE) as Micros;
+    this.promised.set(machine, { free: minus(best.free, spec.demand), until });
+    counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
     log.info("preempting", { task: task.name, machine: machine.name, victims: best.victims.map((v) => v.name) });
     // Its own team is now short of its guarantee, too; without a pause it would be back before the other.
     const pauses = best.victims.map((victim) => (this.movable(task, victim, floor) ? MOVE_PAUSE : PREEMPT_PAUSE));
@@ -510,6 +540,7 @@
       if (at >= 0) roomy.splice(at, 1);
     }
     this.context.wakeCommands(machine);
+    return true;
   }
 
   /**
