--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -76,6 +76,8 @@
   private readonly history = new Map<string, ClassHistory>();
   /** Zones that cannot be reached as a whole: nothing is rented there, and room is made elsewhere. */
   cutZones: ReadonlySet<string> = new Set();
+  private readonly doomed: Machine[] = [];
+  private removing = false;
   private stopped = false;
   private listed = false;
   private consolidateAfter: Micros = 0 as Micros;
@@ -167,15 +169,21 @@
     }
   }
 
-  /** The answer proves that the machines and all that was on them are gone. */
+  /** One call at a time for all that is to go: a call for each few machines left no calls for rentals in a wave. */
   async remove(machines: readonly Machine[]): Promise<void> {
     for (const machine of machines) machine.deleting = true;
-    // The cloud takes so many names at once; a longer list was refused for ever, and a zone's machines stayed.
-    const parts: Machine[][] = [];
-    for (let at = 0; at < machines.length; at += MAX_DELETE) parts.push(machines.slice(at, at + MAX_DELETE));
-    await Promise.all(parts.map((part) => this.removePart(part)));
+    this.doomed.push(...machines);
+    if (this.removing) return;
+    this.removing = true;
+    try {
+      // The cloud takes so many names at once; a longer list was refused for ever, and a zone's machines stayed.
+      while (this.doomed.length > 0 && !this.stopped) await this.removePart(this.doomed.splice(0, MAX_DELETE));
+    } finally {
+      this.removing = false;
+    }
   }
 
+  /** The answer proves that the machines and all that was on them are gone. */
   private async removePart(machines: readonly Machine[]): Promise<void> {
     const { block, clock, lease, log } = this.context;
     for (let tries = 0; !this.stopped; tries += 1) {
