--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -127,6 +127,7 @@
       this.types,
       () => membership.drop(lease.block),
       () => membership.resign(),
+      () => membership.handOver(),
     );
     this.stewards.set(lease.block, steward);
   }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -18,6 +18,8 @@
 
 const RENEWALS = 12;
 const RETRY = ms(100);
+/** Time for the others to take over what was given up. */
+const STAND_BACK = seconds(8);
 const LOAD_POLL = ms(10);
 /** Steady clocks drift by half a thousandth at most; the rest is for slow timers. */
 const MARGIN = seconds(0.5);
@@ -41,6 +43,7 @@
   private grant: Grant | null = null;
   private readonly held = new Map<number, BlockLease>();
   private readonly ttl: Micros;
+  private joinAfter: Micros = 0 as Micros;
   private acting = false;
   private actAgain = false;
 
@@ -67,7 +70,8 @@
     const { log } = this.services;
     for (;;) {
       try {
-        if (this.grant === null) await this.join();
+        if (this.grant === null && this.clock.now() < this.joinAfter) await sleep(this.clock, RETRY);
+        else if (this.grant === null) await this.join();
         else await this.renew(this.grant);
         this.consider();
       } catch (error) {
@@ -109,6 +113,15 @@
     this.resign();
   }
 
+  /** For a holder that can do nothing with what it holds: lets the others have it before joining again. */
+  async handOver(): Promise<void> {
+    const { grant } = this;
+    if (grant === null) return;
+    this.resign();
+    this.joinAfter = (this.clock.now() + STAND_BACK) as Micros;
+    await this.services.store.end(grant.lease);
+  }
+
   /** Gives everything up; joining again ends the old grant, so what was held comes back under fresh numbers. */
   resign(): void {
     this.grant = null;
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -18,6 +18,7 @@
 const ROUND_GAP = ms(10);
 /** Time to ask all machines for their state after a handover; before, silence says nothing. */
 const SETTLE = seconds(5);
+const STANDSTILL = seconds(1.5);
 /** Without news from the state service for so long, silence elsewhere says little. */
 const OWN_FAULT = seconds(3);
 const SETTLE_MOST = seconds(12);
@@ -59,6 +60,7 @@
   private readonly takenAt: Micros;
   private wasValid = true;
   private typesAt: Micros = 0 as Micros;
+  private lastTick: Micros = 0 as Micros;
   private summedAt: Micros;
   private readonly inquiries: Machine[] = [];
   private inquiring = 0;
@@ -71,6 +73,7 @@
     private readonly types: Map<string, MachineType>,
     onFenced: () => void,
     onWrong: () => void,
+    private readonly onDeaf: () => Promise<void>,
   ) {
     const { clock, settings } = services;
     const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.valueBytes / BYTES_PER_TASK)));
@@ -276,6 +279,12 @@
       if (valid && !this.wasValid) this.settledFrom = (clock.now() + SETTLE) as Micros;
       if (valid !== this.wasValid) log.info(valid ? "lease regained" : "lease run out", { block: this.lease.block });
       this.wasValid = valid;
+      // After a standstill of our own everybody seems silent until what has arrived meanwhile is read.
+      const pause = clock.now() - this.lastTick;
+      if (this.lastTick !== 0 && pause > STANDSTILL) {
+        this.settledFrom = Math.max(this.settledFrom, clock.now() + SETTLE) as Micros;
+      }
+      this.lastTick = clock.now();
       this.expire();
       if (valid) {
         this.silence();
@@ -317,6 +326,15 @@
       (machine) => (machine.state === "up" || machine.tasks.size > 0) && !machine.deleting,
     );
     const silent = up.filter((machine) => now - machine.lastHeard > limit);
+    const newest = up.reduce((latest, machine) => Math.max(latest, machine.lastHeard), 0);
+    const stateHeard = now - (view.freshAt ?? now) <= OWN_FAULT;
+    if (up.length >= 3 && now - newest > limit && stateHeard) {
+      // Not one of many: the workers cannot reach this controller, while another may well be reached. Their leases
+      // run, and deleting them one by one, as they miss their reports, would end work that is going on.
+      log.info("no machine heard, handing over", { machines: up.length });
+      void this.guard(this.onDeaf());
+      return;
+    }
     let probes = 0;
     for (const machine of silent) {
       if (probes >= MAX_PROBES) break;
@@ -330,8 +348,10 @@
     const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
     const zones = this.cutZones(up, limit);
     this.rental.cutZones = zones;
-    // When most are silent, or the state service is, too, the fault is more likely on our side.
-    const own = dead.length > Math.max(2, up.length * 0.6) || now - (view.freshAt ?? now) > OWN_FAULT;
+    // When most are silent, or the state service is, too, the fault is more likely on our side. Those that have not
+    // missed a report yet may just not have been due.
+    const quiet = this.quietTime(up.length, limit);
+    const own = dead.length > Math.max(2, up.length * 0.6) || !stateHeard || (up.length >= 3 && now - newest > quiet);
     if (dead.length === 0 || own) return;
     // Replicas in a zone that is cut off run on for as long as their worker's lease; the cut may well be over
     // before, and no proof that they are gone is worth ending them.
@@ -341,17 +361,21 @@
     void this.guard(this.rental.remove(lost));
   }
 
+  /** In which so many machines ought to have been heard several times. */
+  private quietTime(machines: number, limit: number): number {
+    return Math.min(limit, Math.max(CUT_LEAST, (CUT_REPORTS * this.services.settings.workers.report) / machines));
+  }
+
   /** Zones of which nothing at all has been heard for a time in which many of their machines ought to have reported. */
   private cutZones(up: readonly Machine[], limit: number): ReadonlySet<string> {
-    const { clock, settings } = this.services;
+    const { clock } = this.services;
     const zones = new Map<string, { machines: number; newest: Micros }>();
     for (const { zone, lastHeard } of up) {
       const known = zones.get(zone) ?? { machines: 0, newest: 0 as Micros };
       zones.set(zone, { machines: known.machines + 1, newest: Math.max(known.newest, lastHeard) as Micros });
     }
     const cut = [...zones].filter(([, { machines, newest }]) => {
-      const quiet = Math.min(limit, Math.max(CUT_LEAST, (CUT_REPORTS * settings.workers.report) / machines));
-      return machines >= 3 && clock.now() - newest > quiet;
+      return machines >= 3 && clock.now() - newest > this.quietTime(machines, limit);
     });
     // Of nobody at all: then it is us who hear nothing.
     return new Set(cut.length === zones.size ? [] : cut.map(([zone]) => zone));
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -90,6 +90,19 @@
   assert.ok(cluster.checker.starts > running, "nothing started within 2.5 s of the restart");
 });
 
+test("a holder that no worker can reach hands its block over before their leases are over", async () => {
+  const cluster = new Cluster(7);
+  for (let at = 0; at < 4; at += 1) cluster.submit(plainJob(`wk-00000${at}`, { shards: 6 }), { runUs: 90 * S });
+  await cluster.run(60 * S);
+  const started = cluster.checker.starts;
+  assert.equal(started, 24);
+  cluster.cutFromWorkers(cluster.holder(), 60 * S, "reset");
+  await cluster.run(100 * S);
+  // All went on: nothing was deleted, and no lease ran out.
+  assert.equal(cluster.checker.starts, started);
+  assert.deepEqual(cluster.unfinished(), []);
+});
+
 test("a gang starts together, and together anew when it loses a task", async () => {
   const cluster = new Cluster(11);
   const gang = plainJob("wk-000001", { shape: "ensemble", shards: 6, cpus: 4, flavors: ["big"] });
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -171,6 +171,19 @@
     this.network.cut((a, b) => a === address && b === STATE, forUs, mode);
   }
 
+  /** The controller that took the block last. */
+  holder(): number {
+    const taken = this.log.filter((line) => line.includes(" block taken "));
+    return Number(/ctl-(\d)/.exec(taken.at(-1) ?? "")?.[1] ?? 0);
+  }
+
+  /** Cuts a controller off from all machines, and from nothing else. */
+  cutFromWorkers(at: number, forUs: number, mode: "hold" | "reset"): void {
+    const address = this.nodeAddress(at);
+    const others = [STATE, CLOUD, "user", ...ADDRESSES];
+    this.network.cut((a, b) => a === address && !others.includes(b), forUs, mode);
+  }
+
   /** Cuts one machine off from every controller. */
   cutMachine(address: string, forUs: number, mode: "hold" | "reset"): void {
     this.network.cut((a, b) => a === address && ADDRESSES.includes(b), forUs, mode);
