Write cancellations before submissions

A cancellation waited behind every submission that had come before it in the queue for the write budget; in a rush that could be over a second. It now has a queue of its own, which goes first. Test: it failed before.

--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -5,10 +5,10 @@
 import type { Committed, Store } from "./store.js";
 
 /**
- * In the order in which the write budget is spent: what a user waits for, what a task's start or a job's end
- * waits for, and what only keeps the records short.
+ * In the order in which the write budget is spent: cancellations, which nothing may keep waiting; what else a user
+ * waits for; what a task's start or a job's end waits for; and what only keeps the records short.
  */
-export const URGENCIES = ["user", "work", "upkeep"] as const;
+export const URGENCIES = ["cancel", "user", "work", "upkeep"] as const;
 export type Urgency = (typeof URGENCIES)[number];
 
 /** What becomes of a proposal; a busy state service is waited for here. */
@@ -48,7 +48,12 @@
  * others sent again.
  */
 export class Committer {
-  private readonly queues: Readonly<Record<Urgency, Proposal[]>> = { user: [], work: [], upkeep: [] };
+  private readonly queues: Readonly<Record<Urgency, Proposal[]>> = {
+    cancel: [],
+    user: [],
+    work: [],
+    upkeep: [],
+  };
   private readonly budget: RateLimit;
   private inFlight = 0;
   private armed = false;
@@ -91,7 +96,8 @@
   }
 
   private first(): Proposal | undefined {
-    return this.queues.user[0] ?? this.queues.work[0] ?? this.queues.upkeep[0];
+    for (const urgency of URGENCIES) if (this.queues[urgency].length > 0) return this.queues[urgency][0];
+    return undefined;
   }
 
   private arm(delay: Micros): void {
@@ -123,6 +129,7 @@
     const batch: Batch = { proposals: [], conditions: new Map(), written: new Set(), writes: [], bytes: 0 };
     const most = Math.min(this.store.budget.writesPerTransaction, this.budget.available());
     const others = this.queues.work.length > 0 || this.queues.upkeep.length > 0;
+    this.fill(batch, "cancel", most);
     this.fill(batch, "user", others ? Math.floor(most * USER_SHARE) : most);
     this.fill(batch, "work", most);
     this.fill(batch, "upkeep", most);
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -190,7 +190,7 @@
       const result = await committer.propose(
         new Map([[entry.key, entry.version]]),
         [{ kind: "put", key: entry.key, value }],
-        "user",
+        "cancel",
       );
       if (result.kind === "ok") return answer(200, phaseAnswer(id, "cancelled"));
       if (result.kind !== "conflict") return comeBack("state service unavailable");
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -192,6 +192,25 @@
   assert.equal(written, 300, `${refused} refused`);
 });
 
+test("a cancellation does not wait for the submissions that came before it", async () => {
+  const world = new World();
+  const clock = new HostClock(world, 1, 0);
+  const store = {
+    budget: { requestsPerS: 100, writesPerS: 10, writesPerTransaction: 5 },
+    commit: async () => ({ kind: "ok", version: 1 }),
+  } as unknown as Store;
+  const committer = new Committer(store, clock, () => 0.5);
+  const done: string[] = [];
+  const write = (key: string, urgency: "cancel" | "user"): void => {
+    void committer.propose(new Map([[key, 0]]), [{ kind: "put", key, value: {} }], urgency).then(() => done.push(key));
+  };
+  for (let count = 0; count < 60; count += 1) write(`c/job/wk-${count}`, "user");
+  write("c/job/wk-old", "cancel");
+  await world.run(500_000, nothing);
+  assert.ok(done.includes("c/job/wk-old"));
+  assert.ok(done.length < 40, `${done.length} written within the budget`);
+});
+
 test("what a round looks at grows with machines and tasks, not with their product", () => {
   const { block, context, recorder } = makeBlock(1_500);
   for (let at = 0; at < 100; at += 1) {
