--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -3,9 +3,9 @@
 import type { JobSpec } from "../protocol/user.js";
 import type { Team } from "../settings/settings.js";
 import type { Clock } from "../transport/clock.js";
-import { type Machine, newMachine, rememberImage, tally } from "./machines.js";
+import { newMachine, rememberImage, tally } from "./machines.js";
+import type { Job, Machine, Range, Task } from "./picture.js";
 import { readRange, type TaskRecord } from "./records.js";
-import type { Job, Range, Task } from "./tasks.js";
 
 /** All that the holder of a block knows: its jobs, machines and team ledgers. Forgotten with the lease. */
 export class Block {
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -1,59 +1,7 @@
 import type { MachineType } from "../protocol/cloud.js";
-import type { Whole } from "../protocol/json.js";
-import type { Demand, JobSpec } from "../protocol/user.js";
+import type { JobSpec } from "../protocol/user.js";
 import type { Micros } from "../transport/clock.js";
-import type { Task } from "./tasks.js";
-
-/** Why a machine takes no more tasks. */
-export type Drain = "returning" | "notice" | "faulty";
-
-export interface Machine {
-  readonly name: string;
-  /** Empty while the machine is only known by name. */
-  zone: string;
-  spot: boolean;
-  typeName: string;
-  type: MachineType | null;
-  address: string | null;
-  /** `booting`: not heard of yet. */
-  state: "booting" | "up" | "gone";
-  rentedAt: Micros;
-  session: Whole | null;
-  sequence: Whole;
-  /** Highest token that the worker is known to have. */
-  seenToken: Whole;
-  /** Raised whenever a command may still be under way that must not land later. */
-  fence: number;
-  /** Messages of an earlier session are from before its lease surely ran out. */
-  staleSession: Whole | null;
-  lastHeard: Micros;
-  /** Latest moment at which an answer may have renewed the worker's lease. */
-  leaseBase: Micros;
-  leaseOver: boolean;
-  readonly tasks: Set<Task>;
-  /** Of its tasks: what they take together, how many are replicas, and how many use each image. */
-  used: Demand;
-  replicas: number;
-  readonly pinned: Map<string, number>;
-  /** Tasks that the worker reports and that nothing here has placed there. */
-  strays: ReadonlyMap<string, Whole>;
-  /** Exited tasks that the worker still reports, with their attempts. */
-  exited: ReadonlyMap<string, Whole>;
-  /** Images that must be in its cache, least recently used first, with their size. */
-  readonly images: Map<string, number>;
-  noticeUntil: Micros | null;
-  drain: Drain | null;
-  /** Jobs whose tasks failed here lately. */
-  readonly failures: Map<string, { readonly at: Micros; readonly count: number }>;
-  avoidUntil: Micros;
-  idleSince: Micros;
-  commanding: boolean;
-  commandAfter: Micros;
-  /** Highest token under which a command got lost on the way; null once the worker is known to be past it. */
-  lostToken: number | null;
-  deleting: boolean;
-  probed: Micros;
-}
+import type { Machine } from "./picture.js";
 
 export const newMachine = (
   name: string,
--- /dev/null
+++ b/src/bookkeeping/picture.ts
@@ -0,0 +1,115 @@
+import type { MachineType } from "../protocol/cloud.js";
+import type { Whole } from "../protocol/json.js";
+import type { Demand, JobSpec } from "../protocol/user.js";
+import type { TaskState } from "../protocol/worker.js";
+import type { Micros } from "../transport/clock.js";
+import type { TaskRecord } from "./records.js";
+
+/** Why a machine takes no more tasks. */
+export type Drain = "returning" | "notice" | "faulty";
+
+export interface Machine {
+  readonly name: string;
+  /** Empty while the machine is only known by name. */
+  zone: string;
+  spot: boolean;
+  typeName: string;
+  type: MachineType | null;
+  address: string | null;
+  /** `booting`: not heard of yet. */
+  state: "booting" | "up" | "gone";
+  rentedAt: Micros;
+  session: Whole | null;
+  sequence: Whole;
+  /** Highest token that the worker is known to have. */
+  seenToken: Whole;
+  /** Raised whenever a command may still be under way that must not land later. */
+  fence: number;
+  /** Messages of an earlier session are from before its lease surely ran out. */
+  staleSession: Whole | null;
+  lastHeard: Micros;
+  /** Latest moment at which an answer may have renewed the worker's lease. */
+  leaseBase: Micros;
+  leaseOver: boolean;
+  readonly tasks: Set<Task>;
+  /** Of its tasks: what they take together, how many are replicas, and how many use each image. */
+  used: Demand;
+  replicas: number;
+  readonly pinned: Map<string, number>;
+  /** Tasks that the worker reports and that nothing here has placed there. */
+  strays: ReadonlyMap<string, Whole>;
+  /** Exited tasks that the worker still reports, with their attempts. */
+  exited: ReadonlyMap<string, Whole>;
+  /** Images that must be in its cache, least recently used first, with their size. */
+  readonly images: Map<string, number>;
+  noticeUntil: Micros | null;
+  drain: Drain | null;
+  /** Jobs whose tasks failed here lately. */
+  readonly failures: Map<string, { readonly at: Micros; readonly count: number }>;
+  avoidUntil: Micros;
+  idleSince: Micros;
+  commanding: boolean;
+  commandAfter: Micros;
+  /** Highest token under which a command got lost on the way; null once the worker is known to be past it. */
+  lostToken: number | null;
+  deleting: boolean;
+  probed: Micros;
+}
+
+/**
+ * What is known of a start command.
+ * `none`: none can arrive any more. `sending`: under way. `unsure`: one sent under at most `token` may yet
+ * arrive. `seen`: the worker has listed the attempt.
+ */
+export type Launch =
+  | { readonly kind: "none" | "sending" | "seen" }
+  | { readonly kind: "unsure"; readonly token: number };
+
+export interface Task {
+  readonly job: Job;
+  readonly range: Range;
+  readonly index: number;
+  readonly name: string;
+  /** What the state service holds, as far as known. */
+  durable: TaskRecord;
+  /** What it is to hold; the range's writer works off the difference. */
+  want: TaskRecord;
+  /** The machine it may be on. Counts against room, quota and zones. */
+  on: Machine | null;
+  launch: Launch;
+  state: TaskState | null;
+  runningSince: Micros | null;
+  stop: { readonly graceS: number } | null;
+  notBefore: Micros;
+  failures: number;
+  waitingSince: Micros;
+  preemptAfter: Micros;
+}
+
+export interface Range {
+  readonly job: Job;
+  readonly index: number;
+  readonly tasks: readonly Task[];
+  version: Whole;
+  writing: boolean;
+  dirty: boolean;
+  /** When its next write is to begin, if that is set. */
+  due: Micros | null;
+}
+
+export interface Job {
+  readonly spec: JobSpec;
+  version: Whole;
+  cancelled: boolean;
+  readonly ranges: Range[];
+  readonly waiting: Set<Task>;
+  /** Tasks that may be on a machine. */
+  readonly placed: Set<Task>;
+  done: number;
+  readonly seenAt: Micros;
+  ending: boolean;
+  /** Machines on which a task of it failed since one last succeeded or ran on. */
+  readonly failedOn: Set<string>;
+  retryAfter: Micros;
+  failures: number;
+}
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -1,5 +1,5 @@
-import type { Machine } from "../bookkeeping/machines.js";
-import { attemptOf, confirmed, type Launch, type Task } from "../bookkeeping/tasks.js";
+import type { Launch, Machine, Task } from "../bookkeeping/picture.js";
+import { attemptOf, confirmed } from "../bookkeeping/tasks.js";
 import { formatJson, parseJson } from "../protocol/json.js";
 import { type Command, commandRequest, readReport } from "../protocol/worker.js";
 import { type Micros, ms, seconds } from "../transport/clock.js";
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,8 +1,7 @@
 import type { Block } from "../bookkeeping/block.js";
 import type { Committer } from "../bookkeeping/committer.js";
-import type { Machine } from "../bookkeeping/machines.js";
+import type { Machine, Task } from "../bookkeeping/picture.js";
 import type { Store } from "../bookkeeping/store.js";
-import type { Task } from "../bookkeeping/tasks.js";
 import type { View } from "../bookkeeping/view.js";
 import type { Whole } from "../protocol/json.js";
 import type { Options } from "../settings/options.js";
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -1,5 +1,5 @@
-import type { Machine } from "../bookkeeping/machines.js";
-import { attemptOf, type Task } from "../bookkeeping/tasks.js";
+import type { Machine, Task } from "../bookkeeping/picture.js";
+import { attemptOf } from "../bookkeeping/tasks.js";
 import type { Whole } from "../protocol/json.js";
 import type { ExitReason, Report, TaskReport } from "../protocol/worker.js";
 import { type Micros, seconds } from "../transport/clock.js";
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -1,3 +1,4 @@
+import type { Job, Range } from "../bookkeeping/picture.js";
 import {
   type EndRecord,
   endKey,
@@ -7,7 +8,7 @@
   type TaskRecord,
   writeRange,
 } from "../bookkeeping/records.js";
-import { confirmed, type Job, type Range, sameRecord } from "../bookkeeping/tasks.js";
+import { confirmed, sameRecord } from "../bookkeeping/tasks.js";
 import type { Whole } from "../protocol/json.js";
 import type { Write } from "../protocol/state.js";
 import { type Micros, ms, seconds } from "../transport/clock.js";
--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -1,5 +1,5 @@
-import { type Machine, newMachine } from "../bookkeeping/machines.js";
-import type { Job } from "../bookkeeping/tasks.js";
+import { newMachine } from "../bookkeeping/machines.js";
+import type { Job, Machine } from "../bookkeeping/picture.js";
 import type { ListedMachine, MachineType } from "../protocol/cloud.js";
 import type { Demand, JobSpec } from "../protocol/user.js";
 import { type Micros, ms, seconds, sleep } from "../transport/clock.js";
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -1,5 +1,5 @@
-import type { Machine } from "../bookkeeping/machines.js";
-import { attemptOf, type Job, type Task } from "../bookkeeping/tasks.js";
+import type { Job, Machine, Task } from "../bookkeeping/picture.js";
+import { attemptOf } from "../bookkeeping/tasks.js";
 import type { MachineType } from "../protocol/cloud.js";
 import { type Demand, type JobSpec, PRIORITIES } from "../protocol/user.js";
 import { type Micros, seconds } from "../transport/clock.js";
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,5 +1,6 @@
 import { Block } from "../bookkeeping/block.js";
-import { type Machine, newMachine } from "../bookkeeping/machines.js";
+import { newMachine } from "../bookkeeping/machines.js";
+import type { Machine } from "../bookkeeping/picture.js";
 import { CURRENT, jobOfKey, rangeOfKey, readJob, TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { Change } from "../protocol/state.js";
--- /dev/null
+++ b/src/model/behaviour.ts
@@ -0,0 +1,19 @@
+import type { Submission } from "./users.js";
+import type { Behaviour } from "./worker.js";
+import { S } from "./world.js";
+
+export type { Behaviour } from "./worker.js";
+
+/** What a worker finds of a job that runs as its owner estimates; services run until they are stopped. */
+export const jobBehaviour = (job: Submission): Behaviour => ({
+  cpus: job.cpus,
+  gpus: job.accelerators,
+  ramGb: job.ramGb,
+  bundle: job.bundle,
+  sizeGb: job.sizeGb,
+  runUs: job.shape === "daemon" ? null : Math.round(job.guessS * S),
+  saveEveryUs: Math.round(job.saveEveryS * S),
+  saveTakesUs: Math.round(job.saveTakesS * S),
+  failsAlways: false,
+  gang: job.shape === "ensemble" ? job.shards : 0,
+});
--- /dev/null
+++ b/src/model/cloud-service.ts
@@ -0,0 +1,227 @@
+import type { Request, Response } from "../transport/http.js";
+import { json } from "./network.js";
+import type { Luck, Random } from "./random.js";
+import { type CapacitySpec, catalogOf, type SiteSpec, type TypeSpec } from "./site-spec.js";
+import type { HostInfo, Witness } from "./witness.js";
+import type { Worker } from "./worker.js";
+import { S, type Timeline } from "./world.js";
+
+export interface CloudMachine {
+  readonly ref: string;
+  readonly info: HostInfo;
+  readonly type: TypeSpec;
+  readonly since: number;
+  upAt: number | null;
+  goneAt: number | null;
+  worker: Worker | null;
+  phase: "starting" | "running" | "gone";
+}
+
+/** How boots go wrong, as shares of all boots. */
+export interface BootLuck {
+  readonly never: number;
+  readonly late: number;
+  readonly early: number;
+}
+
+export const USUAL_BOOTS: BootLuck = { never: 0.03, late: 0.1, early: 0.1 };
+/** Every boot comes up, within the usual spread. */
+export const EVEN_BOOTS: BootLuck = { never: 0, late: 0, early: 0 };
+
+const LATE = 4;
+const EARLY = 0.05;
+const ANSWER_US = 100_000;
+const LEAST_CHARGE = 60 * S;
+const HOUR = 3_600 * S;
+
+export type Room = (type: string, zone: string, spot: boolean, cloud: CloudService) => number;
+
+export const roomOf = (capacity: readonly CapacitySpec[]): Room => {
+  const counts = new Map(capacity.map(({ type, zone, spot, count }) => [group(type, zone, spot), count]));
+  return (type, zone, spot, cloud) => (counts.get(group(type, zone, spot)) ?? 0) - cloud.count(type, zone, spot);
+};
+
+const group = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot}`;
+
+/** Stand-in for the cloud: lists lag and go backwards, boots are late or never end, requests run late. */
+export class CloudService {
+  readonly machines = new Map<string, CloudMachine>();
+  private readonly answers = new Map<string, string[]>();
+  /** Gone machines that a late list may still name, oldest first. */
+  private readonly ended: CloudMachine[] = [];
+  private readonly present = new Map<string, number>();
+  private next = 1;
+  private cost = 0;
+  private readonly costs = new Map<string, number>();
+  outageUntil = 0;
+  /** Until when requests for a type, zone and kind are refused. */
+  private readonly refusedUntil = new Map<string, number>();
+  boots: BootLuck = USUAL_BOOTS;
+
+  /** `room`: how many more of a type, zone and kind can be had, asked at every rental. */
+  constructor(
+    private readonly timeline: Timeline,
+    private readonly random: Random,
+    private readonly luck: Luck,
+    private readonly site: SiteSpec,
+    private readonly boot: (info: HostInfo, type: TypeSpec) => Worker,
+    private readonly witness: Witness,
+    private readonly room: Room,
+  ) {}
+
+  serve = async (request: Request): Promise<Response> => {
+    await new Promise<void>((resolve) => this.timeline.after(ANSWER_US, resolve));
+    if (this.outageUntil > this.timeline.now) return json(503, { error: "trouble" });
+    if (request.target === "/catalog") return json(200, catalogOf(this.site.types));
+    if (request.target.startsWith("/hosts?")) return this.list(request.target);
+    if (request.target === "/hosts/delete") {
+      const { hosts } = JSON.parse(request.body) as { hosts: string[] };
+      for (const name of hosts) this.take(name, "deleted");
+      return json(200, {});
+    }
+    return this.rent(request.body);
+  };
+
+  /** Worked out for the moment that the list describes, rather than from a history of lists. */
+  private list(target: string): Response {
+    const { listLagUs } = this.site.cloud;
+    const url = new URL(target, "http://cloud");
+    const from = url.searchParams.get("from") ?? "";
+    const page = Math.min(500, Number(url.searchParams.get("page") ?? 500));
+    const at = this.timeline.now - listLagUs * (0.3 + this.random.next() * 1.7);
+    const oldest = this.timeline.now - 3 * listLagUs;
+    while ((this.ended[0]?.goneAt ?? oldest) < oldest) {
+      const machine = this.ended.shift();
+      if (machine !== undefined) this.machines.delete(machine.ref);
+    }
+    const hosts: unknown[] = [];
+    let more = false;
+    // Names are given in order, so the map is sorted already.
+    for (const machine of this.machines.values()) {
+      if (machine.ref <= from || machine.since > at || (machine.goneAt !== null && machine.goneAt <= at)) continue;
+      if (hosts.length === page) {
+        more = true;
+        break;
+      }
+      const up = machine.upAt !== null && machine.upAt <= at;
+      hosts.push({
+        ref: machine.ref,
+        addr: up ? (machine.worker?.host.address ?? null) : null,
+        flavor: machine.info.type,
+        area: machine.info.zone,
+        loaner: machine.info.spot,
+        phase: up ? "running" : "starting",
+        heldS: (at - machine.since) / S,
+      });
+    }
+    return json(200, { hosts, more });
+  }
+
+  private rent(body: string): Response {
+    const { ask, flavor, area, loaner, number } = JSON.parse(body) as {
+      ask: string;
+      flavor: string;
+      area: string;
+      loaner: boolean;
+      number: number;
+    };
+    const known = this.answers.get(ask);
+    if (known !== undefined) return json(200, { hosts: known });
+    const type = this.site.types.find((entry) => entry.name === flavor);
+    if (type === undefined || !type.zones.includes(area)) return json(400, {});
+    const refused = (this.refusedUntil.get(group(flavor, area, loaner)) ?? 0) > this.timeline.now;
+    const room = refused ? 0 : Math.max(0, this.room(flavor, area, loaner, this));
+    const count = Math.min(number, room);
+    if (count < number) this.witness.refused(flavor, area, loaner);
+    if (count === 0) return json(503, { error: "no capacity" });
+    const hosts: string[] = [];
+    for (let at = 0; at < count; at += 1) hosts.push(this.add(type, area, loaner));
+    this.answers.set(ask, hosts);
+    return json(200, { hosts });
+  }
+
+  /** Machines of a type, zone and kind that are charged now. */
+  count(type: string, zone: string, spot: boolean): number {
+    return this.present.get(group(type, zone, spot)) ?? 0;
+  }
+
+  refuse(type: string, zone: string, spot: boolean, forUs: number): void {
+    this.refusedUntil.set(group(type, zone, spot), this.timeline.now + forUs);
+  }
+
+  /** `bootUs`: null where luck decides; 0 for a machine that is there from the beginning. */
+  add(type: TypeSpec, zone: string, spot: boolean, bootUs: number | null = null): string {
+    const ref = `n-${String(this.next++).padStart(6, "0")}`;
+    const info: HostInfo = { name: ref, type: type.name, zone, spot };
+    const machine: CloudMachine = {
+      ref,
+      info,
+      type,
+      since: this.timeline.now,
+      upAt: null,
+      goneAt: null,
+      worker: null,
+      phase: "starting",
+    };
+    this.machines.set(ref, machine);
+    this.present.set(group(type.name, zone, spot), this.count(type.name, zone, spot) + 1);
+    this.witness.machineAsked(info);
+    const takes = bootUs ?? this.bootTime(ref, type);
+    if (takes !== null) this.timeline.after(takes, () => this.up(machine));
+    return ref;
+  }
+
+  private bootTime(ref: string, type: TypeSpec): number | null {
+    const { never, late, early } = this.boots;
+    const draw = this.luck.of("boot", ref);
+    if (draw < never) return null;
+    if (draw < never + late) return type.bootUs * LATE;
+    if (draw < never + late + early) return type.bootUs * EARLY;
+    return type.bootUs * this.luck.between("boot time", ref, 0.6, 1.5);
+  }
+
+  private up(machine: CloudMachine): void {
+    if (machine.phase !== "starting") return;
+    machine.phase = "running";
+    machine.upAt = this.timeline.now;
+    machine.worker = this.boot(machine.info, machine.type);
+    this.witness.machineUp(machine.info);
+  }
+
+  take(name: string, why: "deleted" | "taken" | "failed" = "taken"): void {
+    const machine = this.machines.get(name);
+    if (machine === undefined || machine.phase === "gone") return;
+    const { type, zone, spot } = machine.info;
+    machine.phase = "gone";
+    machine.goneAt = this.timeline.now;
+    this.present.set(group(type, zone, spot), this.count(type, zone, spot) - 1);
+    this.ended.push(machine);
+    const held = this.timeline.now - machine.since;
+    const charged = why === "deleted" ? Math.max(held, LEAST_CHARGE) : held;
+    this.charge(machine, charged);
+    machine.worker?.end();
+    this.witness.machineGone(machine.info, why);
+  }
+
+  private charge(machine: CloudMachine, us: number): void {
+    const price = machine.info.spot ? machine.type.spotPrice : machine.type.price;
+    const cost = (price * us) / HOUR;
+    this.cost += cost;
+    this.costs.set(machine.info.type, (this.costs.get(machine.info.type) ?? 0) + cost);
+  }
+
+  /** Money spent up to now, machines still held included. */
+  spent(): number {
+    let sum = this.cost;
+    for (const machine of this.machines.values()) {
+      if (machine.phase === "gone") continue;
+      const price = machine.info.spot ? machine.type.spotPrice : machine.type.price;
+      sum += (price * (this.timeline.now - machine.since)) / HOUR;
+    }
+    return sum;
+  }
+
+  running(): CloudMachine[] {
+    return [...this.machines.values()].filter((machine) => machine.phase === "running");
+  }
+}
--- /dev/null
+++ b/src/model/index.ts
@@ -0,0 +1,22 @@
+/** The emulator: a whole site around the controllers' real code, for tests, `local`, what-if and experiments. */
+export { type Behaviour, jobBehaviour } from "./behaviour.js";
+export { type CloudMachine, CloudService, EVEN_BOOTS, type Room, roomOf, USUAL_BOOTS } from "./cloud-service.js";
+export { type Host, json, type Net, Network, type Serve } from "./network.js";
+export { Luck, Random } from "./random.js";
+export { Site, type SiteSetup, type SiteWatch, simulatedAddresses } from "./site.js";
+export {
+  type Addresses,
+  type CapacitySpec,
+  labelOf,
+  type ObjectiveSpec,
+  type SiteSpec,
+  settingsOf,
+  settingsText,
+  type TeamSpec,
+  type TypeSpec,
+} from "./site-spec.js";
+export { StateService } from "./state-service.js";
+export { type Hearing, PLAIN_USERS, type Quirks, type Submission, Users } from "./users.js";
+export { both, type EndCause, type HostInfo, nobody, type Witness } from "./witness.js";
+export { jobOf, type Surroundings, Truth, Worker } from "./worker.js";
+export { HostClock, S, type Timeline, World } from "./world.js";
--- a/test/sim/world.ts
+++ b/src/model/network.ts
@@ -1,103 +1,9 @@
-import type { Clock, Micros, Timer } from "../../src/transport/clock.js";
-import type { HttpClient, Outcome, Request, Response } from "../../src/transport/http.js";
-import type { Random } from "../random.js";
-
-interface Event {
-  readonly at: number;
-  readonly order: number;
-  readonly run: () => void;
-  cancelled: boolean;
-}
-
-/** True time of the simulated world, and its queue of events (a binary heap). */
-export class World {
-  now = 0;
-  private order = 0;
-  private readonly heap: Event[] = [];
-
-  at(time: number, run: () => void): Timer {
-    const event: Event = { at: Math.max(time, this.now), order: this.order++, run, cancelled: false };
-    this.push(event);
-    return {
-      cancel: () => {
-        event.cancelled = true;
-      },
-    };
-  }
-
-  after(delay: number, run: () => void): Timer {
-    return this.at(this.now + delay, run);
-  }
-
-  /** Runs until `end`; after each event everything that it caused at once has happened, then `check` looks. */
-  async run(end: number, check: () => void): Promise<void> {
-    for (let event = this.heap[0]; event !== undefined && event.at <= end; event = this.heap[0]) {
-      this.pop();
-      if (event.cancelled) continue;
-      this.now = event.at;
-      event.run();
-      await new Promise((resolve) => setImmediate(resolve));
-      check();
-    }
-    this.now = end;
-  }
-
-  private before(a: Event | undefined, b: Event | undefined): boolean {
-    if (a === undefined || b === undefined) return false;
-    return a.at < b.at || (a.at === b.at && a.order < b.order);
-  }
-
-  private swap(i: number, j: number): void {
-    const [a, b] = [this.heap[i], this.heap[j]];
-    if (a === undefined || b === undefined) return;
-    this.heap[i] = b;
-    this.heap[j] = a;
-  }
-
-  private push(event: Event): void {
-    this.heap.push(event);
-    for (let at = this.heap.length - 1; at > 0; ) {
-      const parent = (at - 1) >> 1;
-      if (!this.before(this.heap[at], this.heap[parent])) break;
-      this.swap(at, parent);
-      at = parent;
-    }
-  }
-
-  private pop(): void {
-    const last = this.heap.pop();
-    if (last === undefined || this.heap.length === 0) return;
-    this.heap[0] = last;
-    for (let at = 0; ; ) {
-      let least = at;
-      for (const child of [2 * at + 1, 2 * at + 2]) if (this.before(this.heap[child], this.heap[least])) least = child;
-      if (least === at) break;
-      this.swap(at, least);
-      at = least;
-    }
-  }
-}
-
-/** A host's steady clock: runs a little fast or slow, and dies with the host. */
-export class HostClock implements Clock {
-  dead = false;
+import type { Clock, Micros } from "../transport/clock.js";
+import type { HttpClient, Outcome, Request, Response } from "../transport/http.js";
+import type { Random } from "./random.js";
+import type { HostClock, World } from "./world.js";
 
-  constructor(
-    private readonly world: World,
-    private readonly rate: number,
-    private readonly offset: number,
-  ) {}
-
-  now(): Micros {
-    return Math.floor(this.world.now * this.rate + this.offset) as Micros;
-  }
-
-  after(delay: Micros, run: () => void): Timer {
-    return this.world.after(Math.max(0, delay) / this.rate, () => {
-      if (!this.dead) run();
-    });
-  }
-}
+export const json = (status: number, body: unknown): Response => ({ status, body: JSON.stringify(body) });
 
 export type Serve = (request: Request, from: string) => Promise<Response>;
 
@@ -108,6 +14,16 @@
   state: "up" | "refusing" | "silent";
 }
 
+/** How hosts of the model reach each other: simulated (`Network`) or over real sockets (`Loopback`). */
+export interface Net {
+  /** An address that no host has yet, for a machine that boots. */
+  address(): string;
+  add(host: Host): void;
+  /** The host is gone for good; its address may be given to another. */
+  remove(host: Host): void;
+  client(from: string, clock: Clock): HttpClient;
+}
+
 interface Cut {
   readonly between: (a: string, b: string) => boolean;
   readonly until: number;
@@ -115,9 +31,10 @@
 }
 
 /** Delays, loses nothing by itself; cuts hold messages back or reset connections. */
-export class Network {
+export class Network implements Net {
   private readonly hosts = new Map<string, Host>();
   private cuts: Cut[] = [];
+  private given = 0;
   /** Lets a test change what is said, to see that the checker notices. */
   tamper: ((from: string, to: string, request: Request, response: Response) => Response) | null = null;
 
@@ -128,15 +45,27 @@
     private readonly random: Random,
   ) {}
 
+  address(): string {
+    const at = this.given;
+    this.given += 1;
+    return `10.${1 + Math.floor(at / 62_500)}.${Math.floor(at / 250) % 250}.${1 + (at % 250)}:9000`;
+  }
+
   add(host: Host): void {
     this.hosts.set(host.address, host);
   }
 
+  /** A machine that is gone stays silent: what is sent there hangs, as it does on a real network. */
+  remove(host: Host): void {
+    this.hosts.delete(host.address);
+  }
+
   cut(between: Cut["between"], forUs: number, mode: Cut["mode"]): void {
     this.cuts.push({ between, until: this.world.now + forUs, mode });
   }
 
   private cutBetween(a: string, b: string): Cut | undefined {
+    if (this.cuts.length === 0) return undefined;
     this.cuts = this.cuts.filter((cut) => cut.until > this.world.now);
     return this.cuts.find((cut) => cut.between(a, b) || cut.between(b, a));
   }
@@ -179,7 +108,7 @@
         this.onRequest?.(from, to, request);
         void target.serve(request, from).then((response) => this.reply(from, to, request, response, settle));
       };
-      if (!open && (host === undefined || host.state !== "up") && host?.state === "refusing") {
+      if (!open && host?.state === "refusing") {
         this.world.after(this.delay(), () => settle({ kind: "unsent" }));
         return;
       }
@@ -206,6 +135,3 @@
     this.world.after(this.delay(), arrive);
   }
 }
-
-export const S = 1_000_000;
-export const json = (status: number, body: unknown): Response => ({ status, body: JSON.stringify(body) });
--- /dev/null
+++ b/src/model/site.ts
@@ -0,0 +1,214 @@
+import { Controller } from "../coordination/controller.js";
+import type { Options } from "../settings/options.js";
+import type { Settings } from "../settings/settings.js";
+import type { Log, LogFields } from "../transport/log.js";
+import { type Behaviour, jobBehaviour } from "./behaviour.js";
+import { CloudService, type Room, roomOf } from "./cloud-service.js";
+import { type Host, Network } from "./network.js";
+import { Luck, Random } from "./random.js";
+import { type Addresses, labelOf, type SiteSpec, settingsOf } from "./site-spec.js";
+import { StateService } from "./state-service.js";
+import { type Hearing, PLAIN_USERS, type Quirks, type Submission, Users } from "./users.js";
+import type { Witness } from "./witness.js";
+import { type Surroundings, Truth, Worker } from "./worker.js";
+import { HostClock, S, World } from "./world.js";
+
+interface Node {
+  clock: HostClock;
+  readonly host: Host & { state: Host["state"] };
+  controller: Controller | null;
+  starts: number;
+}
+
+export interface SiteWatch {
+  readonly witness: Witness;
+  readonly hearing: Hearing;
+  log(level: "error" | "info", controller: number, event: string, fields: LogFields): void;
+}
+
+export interface SiteSetup {
+  readonly spec: SiteSpec;
+  readonly options: Options;
+  readonly seed: number;
+  readonly watch: (world: World) => SiteWatch;
+  /** Settings of the controllers where they are to differ from the site's truth. */
+  readonly settings?: (index: number, addresses: Addresses) => Settings;
+  readonly room?: Room;
+  readonly quirks?: Quirks;
+  /** Changes that a watch on the state service can look back on. */
+  readonly stateLog?: number;
+}
+
+const host = (at: number, port: number): string => `10.0.0.${at + 1}:${port}`;
+
+export const simulatedAddresses = (controllers: number): Addresses => ({
+  controllers: Array.from({ length: controllers }, (_, at) => host(at, 8080)),
+  mesh: Array.from({ length: controllers }, (_, at) => host(at, 8081)),
+  state: "10.0.1.1:2379",
+  cloud: "10.0.1.2:8443",
+});
+
+const RESTART_US = 3 * S;
+
+/** A whole site on one simulated clock: the controllers' real code, and stand-ins for all that is around them. */
+export class Site {
+  readonly world = new World();
+  readonly random: Random;
+  readonly network: Network;
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly users: Users;
+  readonly truth = new Truth();
+  readonly addresses: Addresses;
+  private readonly watch: SiteWatch;
+  private readonly nodes: Node[];
+  private readonly settings: readonly Settings[];
+
+  constructor(private readonly setup: SiteSetup) {
+    const { spec, seed } = setup;
+    this.watch = setup.watch(this.world);
+    this.random = new Random(seed);
+    const count = spec.controllers.length;
+    this.addresses = simulatedAddresses(count);
+    const settings = setup.settings ?? ((index: number, addresses: Addresses) => settingsOf(spec, addresses, index));
+    this.settings = spec.controllers.map((_, index) => settings(index, this.addresses));
+    this.network = new Network(this.world, this.random);
+    const { state } = spec;
+    this.state = new StateService(
+      this.world,
+      this.random,
+      { rps: state.rps, writeRps: state.writeRps, txnOps: state.txnOps, valueBytes: state.valueKb * 1_024 },
+      setup.stateLog,
+    );
+    this.network.add({
+      address: this.addresses.state,
+      serve: (request, from) => this.state.serve(request, from),
+      state: "up",
+    });
+    const around: Surroundings = {
+      timeline: this.world,
+      net: this.network,
+      random: this.random,
+      luck: new Luck(seed),
+      witness: this.watch.witness,
+      truth: this.truth,
+      nodes: this.addresses.controllers,
+      labels: spec.controllers.map((_, at) => labelOf(at)),
+      times: spec.workers,
+    };
+    this.cloud = new CloudService(
+      this.world,
+      this.random,
+      around.luck,
+      spec,
+      (info, type) => new Worker(around, info, type),
+      this.watch.witness,
+      setup.room ?? roomOf(spec.capacity),
+    );
+    this.network.add({ address: this.addresses.cloud, serve: (request) => this.cloud.serve(request), state: "up" });
+    this.users = new Users(
+      this.world,
+      this.network,
+      this.random,
+      this.addresses.controllers,
+      this.watch.hearing,
+      setup.quirks ?? PLAIN_USERS,
+    );
+    this.nodes = this.addresses.controllers.map((address) => this.makeNode(address));
+    for (let at = 0; at < count; at += 1) this.start(at);
+  }
+
+  private makeNode(address: string): Node {
+    const node: Node = {
+      clock: new HostClock(this.world, 1, 0),
+      host: {
+        address,
+        state: "refusing",
+        serve: (request) => {
+          const { controller, clock } = node;
+          if (controller === null) return new Promise(() => undefined);
+          return new Promise((resolve) => {
+            void controller.handle(request).then((response) => {
+              if (!clock.dead) resolve(response);
+            });
+          });
+        },
+      },
+      controller: null,
+      starts: 0,
+    };
+    this.network.add(node.host);
+    return node;
+  }
+
+  private start(at: number): void {
+    const node = this.nodes[at];
+    const settings = this.settings[at];
+    if (node === undefined || settings === undefined) return;
+    node.starts += 1;
+    node.clock = new HostClock(this.world, 1 + this.random.next() * 0.0005, this.random.int(0, 1e9));
+    const { clock } = node;
+    const line =
+      (level: "error" | "info"): Log["info"] =>
+      (event, fields) =>
+        this.watch.log(level, at, event, fields ?? {});
+    const outside = {
+      clock,
+      log: { error: line("error"), info: line("info"), debug: () => undefined },
+      http: this.network.client(node.host.address, clock),
+      random: this.random.next,
+    };
+    node.controller = new Controller(outside, settings, this.setup.options, `inc-${at}-${node.starts}`);
+    node.host.state = "up";
+    node.controller.start();
+  }
+
+  /** A job and how its tasks behave; then its user submits it. */
+  submit(job: Submission, behaviour: Partial<Behaviour> = {}): void {
+    this.truth.behaviours.set(job.ref, { ...jobBehaviour(job), ...behaviour });
+    this.users.submit(job);
+  }
+
+  crash(at: number, backAfterUs = RESTART_US): void {
+    const node = this.nodes[at];
+    if (node === undefined || node.controller === null) return;
+    node.clock.dead = true;
+    node.controller = null;
+    node.host.state = "refusing";
+    this.world.after(backAfterUs, () => this.start(at));
+  }
+
+  nodeAddress(at: number): string {
+    return this.addresses.controllers[at] ?? "";
+  }
+
+  private isNode(address: string): boolean {
+    return this.addresses.controllers.includes(address);
+  }
+
+  /** Cuts this controller off from the state service (and only from it). */
+  cutFromState(at: number, forUs: number, mode: "hold" | "reset"): void {
+    const address = this.nodeAddress(at);
+    this.network.cut((a, b) => a === address && b === this.addresses.state, forUs, mode);
+  }
+
+  /** Cuts a controller off from all machines, and from nothing else. */
+  cutFromWorkers(at: number, forUs: number, mode: "hold" | "reset"): void {
+    const address = this.nodeAddress(at);
+    const others = [this.addresses.state, this.addresses.cloud, "user", ...this.addresses.controllers];
+    this.network.cut((a, b) => a === address && !others.includes(b), forUs, mode);
+  }
+
+  /** Cuts one machine off from every controller. */
+  cutMachine(address: string, forUs: number, mode: "hold" | "reset"): void {
+    this.network.cut((a, b) => a === address && this.isNode(b), forUs, mode);
+  }
+
+  /** Cuts all machines of a zone off from every controller. */
+  cutZone(zone: string, forUs: number, mode: "hold" | "reset"): void {
+    const inside = new Set(
+      this.cloud.running().flatMap(({ info, worker }) => (info.zone === zone && worker ? [worker.host.address] : [])),
+    );
+    this.network.cut((a, b) => inside.has(a) && this.isNode(b), forUs, mode);
+  }
+}
--- a/test/sim/state-service.ts
+++ b/src/model/state-service.ts
@@ -1,6 +1,7 @@
-import type { Request, Response } from "../../src/transport/http.js";
-import type { Random } from "../random.js";
-import { json, S, type World } from "./world.js";
+import type { Request, Response } from "../transport/http.js";
+import { json } from "./network.js";
+import type { Random } from "./random.js";
+import { S, type Timeline } from "./world.js";
 
 interface Item {
   value: unknown;
@@ -24,14 +25,15 @@
   private writes = 0;
   /** Share of transactions that are carried out, now or seconds later, without an answer. */
   unanswered = 0;
-  readonly keep = 300;
 
+  /** `keep`: changes that a watch can look back on. */
   constructor(
-    private readonly world: World,
+    private readonly world: Timeline,
     private readonly random: Random,
     private readonly limits: { rps: number; writeRps: number; txnOps: number; valueBytes: number },
+    private readonly keep = 10_000,
   ) {
-    this.second();
+    this.tenth();
   }
 
   outage(forUs: number): void {
@@ -49,13 +51,6 @@
     return this.items.get(key)?.value;
   }
 
-  private second(): void {
-    this.requests = 0;
-    this.writes = 0;
-    for (const [id, hold] of this.holds) if (hold.until < this.world.now) this.end(id);
-    this.world.after(S / 10, () => this.tenth());
-  }
-
   private tenth(): void {
     this.requests = Math.max(0, this.requests - this.limits.rps / 10);
     this.writes = Math.max(0, this.writes - this.limits.writeRps / 10);
@@ -78,7 +73,8 @@
   }
 
   private wake(): void {
-    if (this.log.length > this.keep) this.log = this.log.slice(-this.keep);
+    // Cut now and then only: a copy of ten thousand entries for each change took most of a run.
+    if (this.log.length > 2 * this.keep) this.log = this.log.slice(-this.keep);
     this.waiters = this.waiters.filter((waiter) => !waiter.wake());
   }
 
@@ -176,14 +172,16 @@
     return new Promise((resolve) => {
       const answer = (): boolean => {
         if (this.down(from)) return false;
-        const oldest = this.log[0]?.stamp ?? 0;
-        if (since + 1 < oldest && this.log.length >= this.keep) {
+        const first = Math.max(0, this.log.length - this.keep);
+        if (this.log.length > this.keep && since + 1 < (this.log[first]?.stamp ?? 0)) {
           resolve(json(410, {}));
           return true;
         }
-        const log = this.log.filter(
-          (entry) => entry.stamp > since && ("set" in entry ? entry.set : entry.remove).startsWith(under),
-        );
+        let begin = this.log.length;
+        while (begin > first && (this.log[begin - 1]?.stamp ?? 0) > since) begin -= 1;
+        const log = this.log
+          .slice(begin)
+          .filter((entry) => ("set" in entry ? entry.set : entry.remove).startsWith(under));
         if (log.length === 0 && this.world.now < until) return false;
         resolve(json(200, { epoch: this.epoch, log }));
         return true;
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -5,7 +5,7 @@
 
 export interface ServerLimits {
   readonly maxConnections: number;
-  /** A connection on which a begun request does not get complete in this time is closed. */
+  /** A connection on which a begun request is not complete within this time, counted from its first byte, is closed. */
   readonly requestTimeout: Micros;
   readonly idleTimeout: Micros;
   /** Requests being worked on at once, over all connections; beyond it load is shed. */
@@ -72,6 +72,8 @@
     this.open.add(socket);
     const parser = new HttpParser("request", { headBytes: 16_384, bodyBytes: 65_536 });
     let working = false;
+    /** Until the first answer, the bound runs from the beginning of the connection. */
+    let answered = false;
     let timer: Timer | null = null;
     const arm = (delay: Micros): void => {
       timer?.cancel();
@@ -91,12 +93,12 @@
     socket.on("data", (data: Buffer) => {
       if (socket.writableEnded) return;
       try {
+        // One bound for the whole request: started anew with each byte, it let a client that sent one every few
+        // seconds keep its connection for ever.
+        if (!working && parser.idle && answered) arm(this.limits.requestTimeout);
         const messages = parser.push(data);
         const message = messages[0];
-        if (message === undefined) {
-          if (!working && !parser.idle) arm(this.limits.requestTimeout);
-          return;
-        }
+        if (message === undefined) return;
         // The protocol has no pipelining; answering out of turn would be worse than refusing.
         if (working || messages.length > 1) throw new HttpError(400, "pipelined");
         working = true;
@@ -105,6 +107,7 @@
         this.answer({ method, target, body: message.body.toString("utf8") })
           .then((response) => {
             working = false;
+            answered = true;
             if (socket.destroyed || socket.writableEnded) return;
             const keep = message.keepAlive && response.close !== true;
             if (keep) socket.write(render(response, true));
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { json, S } from "../src/model/index.js";
 import type { Request, Response } from "../src/transport/http.js";
 import { BrokenRule, type Rule } from "./sim/checker.js";
 import { Cluster, plainJob, type Submission } from "./sim/cluster.js";
-import { json, S } from "./sim/world.js";
 
 type Tamper = (from: string, to: string, request: Request, response: Response) => Response;
 
@@ -36,8 +36,8 @@
   const rule = await brokenDay((cluster) => {
     cluster.submit(plainJob("wk-000001"));
     cluster.submit(plainJob("wk-000002", { shape: "daemon", rank: "prod", spread: true, shards: 2 }));
-    cluster.world.at(40 * S, () => cluster.cancel("wk-000002"));
-    cluster.world.at(20 * S, () => cluster.pollStranger());
+    cluster.world.at(40 * S, () => cluster.users.cancel("wk-000002"));
+    cluster.world.at(20 * S, () => cluster.users.askOnce("wk-900000"));
   });
   assert.equal(rule, null);
 });
@@ -77,7 +77,7 @@
     ],
   ] as const) {
     const rule = await brokenDay((cluster) => {
-      cluster.alter = (request) =>
+      cluster.users.alter = (request) =>
         request.target === "/v2/runs"
           ? { ...request, body: JSON.stringify({ ...(JSON.parse(request.body) as object), ...lie }) }
           : request;
@@ -91,13 +91,13 @@
   const rule = await brokenDay((cluster) => {
     cluster.submit(plainJob("wk-000001", { shape: "daemon", rank: "prod" }));
     // Answers, but tells nobody.
-    cluster.alter = (request) =>
+    cluster.users.alter = (request) =>
       request.target.endsWith("/abort") ? { ...request, target: "/up", method: "GET" } : request;
     cluster.network.tamper = answering(
       (request) => request.target === "/up" || isPoll(request),
       (request) => json(200, { ref: idOf(request), phase: cluster.world.now > 40 * S ? "withdrawn" : "pending" }),
     );
-    cluster.world.at(40 * S, () => cluster.cancel("wk-000001"));
+    cluster.world.at(40 * S, () => cluster.users.cancel("wk-000001"));
   });
   assert.equal(rule, "ran_cancelled");
 });
@@ -116,9 +116,9 @@
       cluster.network.tamper = (from, _to, request, response) =>
         from === "user" ? (lie(request, cluster.world.now) ?? response) : response;
       cluster.submit(plainJob("wk-000001"), { runUs: 5 * S });
-      cluster.keepAsking("wk-000001");
+      cluster.users.keepAsking("wk-000001");
       cluster.world.at(50 * S, () => cluster.submit(plainJob("wk-000001"), { runUs: 5 * S }));
-      cluster.world.at(20 * S, () => cluster.pollStranger());
+      cluster.world.at(20 * S, () => cluster.users.askOnce("wk-900000"));
     });
     assert.equal(rule, expected);
   }
--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -2,7 +2,7 @@
 import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { abortJob, ClientError, showJob, submitJob } from "../src/client.js";
-import { seconds, systemClock } from "../src/transport/clock.js";
+import { type Micros, seconds, systemClock } from "../src/transport/clock.js";
 import { HttpServer } from "../src/transport/http-server.js";
 
 const freePort = (): Promise<number> =>
@@ -97,3 +97,49 @@
   assert.match(await busy, /^HTTP\/1\.1 200 /);
   await server.close();
 });
+
+test("a client that sends a byte now and then does not keep its connection", async () => {
+  // Each byte used to start the time for the whole request anew.
+  const port = await freePort();
+  const times: { readonly run: () => void; readonly delay: number; cancelled: boolean }[] = [];
+  const clock = {
+    now: () => 0 as Micros,
+    after: (delay: Micros, run: () => void) => {
+      const timer = { run, delay, cancelled: false };
+      times.push(timer);
+      return {
+        cancel: () => {
+          timer.cancelled = true;
+        },
+      };
+    },
+  };
+  const server = new HttpServer(
+    clock,
+    { maxConnections: 3, requestTimeout: seconds(10), idleTimeout: seconds(60), maxBusy: 1 },
+    async () => ({ status: 200, body: "{}" }),
+    (error) => assert.fail(String(error)),
+  );
+  await server.listen("127.0.0.1", port);
+  const socket = connect(port, "127.0.0.1");
+  const ended = closed(socket);
+  const next = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 20));
+  await new Promise((resolve) => socket.once("connect", resolve));
+  const live = (): typeof times => times.filter(({ cancelled }) => !cancelled);
+  // On a new connection, and on one that has served a request already.
+  for (const text of ["GET /a HTTP/1.1\r\n\r", "\nGET /b HTTP/1.1\r\n"]) {
+    for (const byte of text) {
+      socket.write(byte);
+      await next();
+    }
+  }
+  const counted = times.length;
+  const last = live()[0];
+  last?.run();
+  const text = await Promise.race([ended, next().then(() => "still open")]);
+  socket.destroy();
+  await server.close();
+  assert.equal(counted, 3, "once for the connection, once for its idle time, once for the second request");
+  assert.equal(last?.delay, seconds(10));
+  assert.match(text, /^HTTP\/1\.1 200 /);
+});
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
-import { S } from "./sim/world.js";
 
 const SEEDS = 24;
 
@@ -26,14 +26,14 @@
       cluster.state.outage(random.int(3, 25) * S);
       break;
     case 4:
-      cluster.state.refuse(cluster.nodeAddress(node), length());
+      cluster.state.refuse(cluster.site.nodeAddress(node), length());
       break;
     case 5:
-      cluster.cutFromState(node, length(), mode);
+      cluster.site.cutFromState(node, length(), mode);
       break;
     case 6:
       for (const machine of machines.slice(0, random.int(1, 3))) {
-        cluster.cutMachine(machine.worker?.host.address ?? "", length(), mode);
+        cluster.site.cutMachine(machine.worker?.host.address ?? "", length(), mode);
       }
       break;
     case 7:
@@ -72,9 +72,10 @@
     const at = number < 6 ? 2 * S : random.int(2 * S, busy);
     cluster.world.at(at, () => cluster.submit(job, { runUs: job.shape === "daemon" ? null : random.int(3, 30) * S }));
     const given = random.chance(0.2);
-    if (given) cluster.world.at(at + random.int(0, 40 * S), () => cluster.cancel(job.ref));
+    if (given) cluster.world.at(at + random.int(0, 40 * S), () => cluster.users.cancel(job.ref));
   }
-  for (let number = 0; number < 8; number += 1) cluster.world.at(random.int(0, busy), () => cluster.pollStranger());
+  for (let number = 0; number < 8; number += 1)
+    cluster.world.at(random.int(0, busy), () => cluster.users.askOnce("wk-900000"));
   for (let number = random.int(3, 7); number > 0; number -= 1) {
     cluster.world.at(random.int(10 * S, busy), () => trouble(cluster, random));
   }
@@ -103,8 +104,8 @@
 const largeDay = async (seed: number, troubles: (cluster: Cluster) => void): Promise<Cluster> => {
   const cluster = new Cluster(seed, {}, grown);
   const random = new Random(seed + 500);
-  cluster.cloud.spotRoom = 80;
-  cluster.cloud.ordinaryRoom = 80;
+  cluster.rooms.spot = 80;
+  cluster.rooms.ordinary = 80;
   for (let number = 0; number < 70; number += 1) {
     const service = number % 2 === 0;
     const job = plainJob(`wk-${String(number).padStart(6, "0")}`, {
@@ -116,7 +117,7 @@
     });
     const at = number < 30 ? 2 * S : random.int(2 * S, 100 * S);
     cluster.world.at(at, () => cluster.submit(job, { runUs: service ? null : random.int(10, 50) * S }));
-    if (random.chance(0.1)) cluster.world.at(at + random.int(0, 60 * S), () => cluster.cancel(job.ref));
+    if (random.chance(0.1)) cluster.world.at(at + random.int(0, 60 * S), () => cluster.users.cancel(job.ref));
   }
   troubles(cluster);
   await cluster.run(420 * S);
@@ -131,7 +132,7 @@
   timeout: 600_000,
 }, async () => {
   await largeDay(1, (cluster) => {
-    cluster.world.at(50 * S, () => cluster.cutZone("east", 40 * S, "hold"));
+    cluster.world.at(50 * S, () => cluster.site.cutZone("east", 40 * S, "hold"));
     cluster.world.at(60 * S, () => cluster.crash(0));
     cluster.world.at(120 * S, () => {
       for (const machine of cluster.cloud.running()) if (machine.info.spot) cluster.cloud.take(machine.ref);
@@ -147,8 +148,8 @@
         if (at % 4 === 0) worker?.hang(50 * S);
       });
     });
-    cluster.world.at(70 * S, () => cluster.cutZone("west", 60 * S, "reset"));
-    cluster.world.at(75 * S, () => cluster.cutFromState(0, 40 * S, "hold"));
+    cluster.world.at(70 * S, () => cluster.site.cutZone("west", 60 * S, "reset"));
+    cluster.world.at(75 * S, () => cluster.site.cutFromState(0, 40 * S, "hold"));
     cluster.world.at(90 * S, () => {
       cluster.cloud.outageUntil = cluster.world.now + 20 * S;
     });
--- a/test/random.ts
+++ b/test/random.ts
@@ -1,30 +1,6 @@
-import prand from "pure-rand";
+import { Random } from "../src/model/index.js";
 
-/** Seeded: the same seed gives the same run. */
-export class Random {
-  private generator: prand.RandomGenerator;
-
-  constructor(readonly seed: number) {
-    this.generator = prand.xoroshiro128plus(seed);
-  }
-
-  /** Uniform in [0, 1). */
-  readonly next = (): number => prand.unsafeUniformIntDistribution(0, 2 ** 32 - 1, this.generator) / 2 ** 32;
-
-  int(from: number, to: number): number {
-    return prand.unsafeUniformIntDistribution(from, to, this.generator);
-  }
-
-  chance(share: number): boolean {
-    return this.next() < share;
-  }
-
-  pick<T>(items: readonly T[]): T {
-    const item = items[this.int(0, items.length - 1)];
-    if (item === undefined) throw new Error("nothing to pick from");
-    return item;
-  }
-}
+export { Random };
 
 /** Runs a check for many seeds; a failure names the one to repeat. */
 export const forSeeds = (count: number, run: (random: Random) => void): void => {
--- a/test/scenarios.test.ts
+++ b/test/scenarios.test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { S } from "../src/model/index.js";
 import { Cluster, plainJob } from "./sim/cluster.js";
-import { S } from "./sim/world.js";
 
 test("replicas of one team are not stopped to give another its guarantee", async () => {
   // Seen on a site whose smaller zone had a single ordinary machine: two teams' services drove each other off
   // it every few seconds, all day long.
   const cluster = new Cluster(3);
-  cluster.cloud.ordinaryRoom = 1;
+  cluster.rooms.ordinary = 1;
   const service = { shape: "daemon", rank: "prod", area: "west", flavors: ["small"] } as const;
   cluster.submit(plainJob("wk-000001", { ...service, shards: 2, owner: "open" }));
   cluster.world.at(40 * S, () => cluster.submit(plainJob("wk-000002", { ...service, shards: 1, owner: "capped" })));
@@ -20,7 +20,7 @@
   // Seen on a site with one ordinary machine in its smaller zone: once jobs without a need for it had filled it,
   // the second replicas of spread jobs waited all day.
   const cluster = new Cluster(4);
-  cluster.cloud.ordinaryRoom = 1;
+  cluster.rooms.ordinary = 1;
   const service = { shape: "daemon", rank: "prod", flavors: ["big"] } as const;
   for (let at = 1; at <= 4; at += 1) {
     cluster.submit(plainJob(`wk-00000${at}`, { ...service, shards: 1, cpus: 4, area: at === 1 ? "east" : null }));
@@ -33,7 +33,7 @@
 
 test("replicas left behind on two machines are brought together on one", async () => {
   const cluster = new Cluster(6);
-  cluster.cloud.neverBoots = 0;
+  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
   const service = { shape: "daemon", rank: "prod", flavors: ["big"], area: "east", shards: 1 } as const;
   cluster.submit(plainJob("wk-000001", service));
   cluster.submit(plainJob("wk-000002", { shards: 7, rank: "prod", flavors: ["big"], area: "east" }), { runUs: 60 * S });
@@ -49,8 +49,8 @@
   // Seen in the random days: with one new job only, nothing spoke against the machine, and as the fullest one it
   // was chosen again each time the back-off ended.
   const cluster = new Cluster(8);
-  cluster.cloud.neverBoots = 0;
-  cluster.cloud.ordinaryRoom = 1;
+  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+  cluster.rooms.ordinary = 1;
   const service = { shape: "daemon", rank: "prod", flavors: ["big"], area: "east", cpus: 1 } as const;
   cluster.submit(plainJob("wk-000001", { ...service, shards: 4 }));
   await cluster.run(50 * S);
@@ -58,7 +58,7 @@
   cluster.submit(plainJob("wk-000002", { ...service, shards: 2 }));
   await cluster.run(150 * S);
   // Only now is there another machine to be had; by now the back-off outlasts every grudge against this one.
-  cluster.cloud.ordinaryRoom = 8;
+  cluster.rooms.ordinary = 8;
   await cluster.run(120 * S);
   assert.deepEqual(cluster.missingReplicas(), []);
 });
@@ -67,7 +67,7 @@
   // Seen in the random days: two replicas of one job each counted on the same last place in the other zone, and
   // were moved out and back for ever.
   const cluster = new Cluster(12);
-  cluster.cloud.neverBoots = 0;
+  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
   cluster.submit(plainJob("wk-000001", { shape: "daemon", rank: "prod", flavors: ["big"], shards: 3, spread: true }));
   await cluster.run(200 * S);
   assert.equal(cluster.logged("machine emptied"), false);
@@ -96,7 +96,7 @@
   await cluster.run(60 * S);
   const started = cluster.checker.starts;
   assert.equal(started, 24);
-  cluster.cutFromWorkers(cluster.holder(), 60 * S, "reset");
+  cluster.site.cutFromWorkers(cluster.holder(), 60 * S, "reset");
   await cluster.run(100 * S);
   // All went on: nothing was deleted, and no lease ran out.
   assert.equal(cluster.checker.starts, started);
@@ -121,7 +121,7 @@
   cluster.submit(plainJob("wk-000002", { shards: 2, cpus: 1 }), { runUs: 5 * S });
   await cluster.run(80 * S);
   assert.ok(cluster.checker.starts > 200, `${cluster.checker.starts} starts`);
-  cluster.cancel("wk-000001");
+  cluster.users.cancel("wk-000001");
   await cluster.run(90 * S);
   assert.equal(cluster.checker.finalOf("wk-000001"), "withdrawn");
   assert.equal(cluster.checker.finalOf("wk-000002"), "done");
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -1,3 +1,5 @@
+import type { Hearing } from "../../src/model/index.js";
+
 /** The truth about jobs, machines and what users were told; knows nothing of what the controllers think. */
 export interface TrueJob {
   readonly id: string;
@@ -54,6 +56,8 @@
   private readonly on = new Map<string, Set<TrueMachine>>();
   readonly finished = new Map<string, Set<string>>();
   private readonly polls: { at: number; good: boolean; job: string }[] = [];
+  /** Cancelled jobs in the order in which the time of their tasks is over. */
+  private readonly cancelled: { readonly id: string; readonly until: number }[] = [];
   starts = 0;
   private broken: BrokenRule | null = null;
 
@@ -143,10 +147,12 @@
   /** Time may break a rule, too. */
   tick(): void {
     if (this.broken !== null) throw this.broken;
-    for (const [id, told] of this.told) {
-      if (told.cancelledAt === null || this.now() <= told.cancelledAt + this.cancelUs) continue;
+    // Each cancelled job is looked at once, when its time is over; a later start is noticed when it happens.
+    for (let next = this.cancelled[0]; next !== undefined; next = this.cancelled[0]) {
+      if (this.now() <= next.until) return;
+      this.cancelled.shift();
       for (const task of this.on.keys()) {
-        if (task.startsWith(`${id}/`)) this.break("ran_cancelled", task);
+        if (task.startsWith(`${next.id}/`)) this.break("ran_cancelled", task);
       }
     }
   }
@@ -160,6 +166,15 @@
     if (phase !== null) this.phase(id, told, phase);
   }
 
+  /** What users ask and hear, for the emulator's users. */
+  readonly hearing: Hearing = {
+    submitted: (id, status, phase) => this.submitted(id, status, phase),
+    polled: (id, status, phase) => this.polled(id, status, phase),
+    cancelAsked: (id) => this.cancelAsked(id),
+    cancelAnswered: (id, status, phase) => this.cancelAnswered(id, status, phase),
+    dropped: () => undefined,
+  };
+
   cancelAsked(id: string): void {
     this.state(id).cancelAsked = true;
   }
@@ -192,7 +207,10 @@
     if (told.final !== null && phase !== told.final) this.break("went_back", `${id}: ${told.final} to ${phase}`);
     if (phase === "withdrawn") {
       if (!told.cancelAsked) this.break("went_back", `${id}: cancelled by nobody`);
-      told.cancelledAt ??= this.now();
+      if (told.cancelledAt === null) {
+        told.cancelledAt = this.now();
+        this.cancelled.push({ id, until: this.now() + this.cancelUs });
+      }
       told.final = phase;
     }
     if (phase === "done") {
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -1,174 +1,157 @@
-import { Controller } from "../../src/coordination/controller.js";
+import {
+  type Behaviour,
+  HostClock,
+  nobody,
+  Random,
+  S,
+  Site,
+  type SiteSpec,
+  type Submission,
+  type TypeSpec,
+  type Witness,
+} from "../../src/model/index.js";
 import { DEFAULT_OPTIONS, type Options } from "../../src/settings/options.js";
-import { parseSettings, type Settings } from "../../src/settings/settings.js";
+import { parseSettings } from "../../src/settings/settings.js";
 import type { Micros } from "../../src/transport/clock.js";
 import type { Request } from "../../src/transport/http.js";
-import type { Log } from "../../src/transport/log.js";
 import { settingsText } from "../fixtures.js";
-import { Random } from "../random.js";
 import { BrokenRule, Checker } from "./checker.js";
-import { type Behaviour, CloudService, type Gangs, type TypeInfo, Worker } from "./fleet.js";
-import { StateService } from "./state-service.js";
-import { type Host, HostClock, Network, S, World } from "./world.js";
 
-const LABELS = ["ctl-0", "ctl-1", "ctl-2"];
-const ADDRESSES = ["10.0.0.1:8080", "10.0.0.2:8080", "10.0.0.3:8080"];
-const STATE = "10.2.0.1:2379";
-const CLOUD = "10.2.0.2:8443";
+export type { Submission } from "../../src/model/index.js";
 
-const TYPES: readonly TypeInfo[] = [
-  { sku: "big", cpus: 16, ramGb: 64, bootS: 12, price: 0.8, spotPrice: 0.3, areas: ["east", "west"] },
-  { sku: "small", cpus: 4, ramGb: 32, bootS: 8, price: 0.25, spotPrice: 0.1, areas: ["east", "west"] },
-];
+const type = (
+  name: string,
+  cpus: number,
+  ramGb: number,
+  bootS: number,
+  price: number,
+  spotPrice: number,
+): TypeSpec => ({
+  name,
+  cpus,
+  gpus: 0,
+  ramGb,
+  cacheGb: 20,
+  fetchGbPerS: 1,
+  price,
+  spotPrice,
+  bootUs: bootS * S,
+  zones: ["east", "west"],
+});
 
-interface Node {
-  clock: HostClock;
-  readonly host: Host & { state: Host["state"] };
-  controller: Controller | null;
-  starts: number;
-}
+const TYPES: readonly TypeSpec[] = [type("big", 16, 64, 12, 0.8, 0.3), type("small", 4, 32, 8, 0.25, 0.1)];
 
-export interface Submission {
-  readonly ref: string;
-  readonly owner: string;
-  readonly shape: "sweep" | "ensemble" | "daemon";
-  readonly shards: number;
-  readonly cpus: number;
-  readonly [field: string]: unknown;
-}
+/** The site that the given settings describe. */
+const siteOf = (text: string): SiteSpec => {
+  const truth = parseSettings(text);
+  return {
+    name: "test",
+    zones: truth.zones,
+    controllers: ["east", "east", "east"],
+    teams: [],
+    types: TYPES,
+    capacity: [],
+    objectives: [],
+    workers: {
+      reportUs: truth.workers.report,
+      leaseUs: truth.workers.lease,
+      cancelUs: truth.workers.cancel,
+      gangWaitUs: 30 * S,
+      gangPeerUs: 8 * S,
+    },
+    state: {
+      rps: truth.state.rps,
+      writeRps: truth.state.writeRps,
+      valueKb: truth.state.valueBytes / 1_024,
+      txnOps: truth.state.transactionWrites,
+    },
+    cloud: { rps: truth.cloud.rps, listLagUs: truth.cloud.listLag },
+    quota: { cpuShare: 0.4, memMb: 256, maxConnections: 500 },
+  };
+};
+
+/** The settings of the fixtures, with the model's addresses in them. */
+const settingsAt = (index: number, alter: (text: string) => string): string =>
+  alter(settingsText(index)).replace("10.2.0.2:8443", "10.0.1.2:8443").replace("10.2.0.1:2379", "10.0.1.1:2379");
 
-/** Three controllers' real code, and stand-ins for all that is around them, on one simulated clock. */
+/** A site of the emulator with the checker of the rules beside it, and what tests need to steer it. */
 export class Cluster {
-  readonly world = new World();
+  readonly site: Site;
   readonly random: Random;
-  readonly network: Network;
-  readonly state: StateService;
-  readonly cloud: CloudService;
   readonly checker: Checker;
   readonly errors: string[] = [];
-  readonly answers: { readonly at: number; readonly id: string; readonly phase: string }[] = [];
-  private readonly behaviours = new Map<string, Behaviour>();
-  private readonly nodes: Node[];
-  private readonly settings: Settings[];
-  private readonly options: Options;
-  private readonly log: string[] = [];
-  /** Lets a test change what users send on its way. */
-  alter: (request: Request) => Request = (request) => request;
+  readonly log: string[] = [];
+  /** Machines of a kind that a zone holds, whatever their type. */
+  readonly rooms = { spot: 6, ordinary: 8 };
 
-  constructor(seed: number, options: Partial<Options> = {}, alterSettings: (text: string) => string = (text) => text) {
+  constructor(seed: number, options: Partial<Options> = {}, alter: (text: string) => string = (text) => text) {
     this.random = new Random(seed);
-    this.options = { ...DEFAULT_OPTIONS, ...options };
-    this.settings = LABELS.map((_, index) => parseSettings(alterSettings(settingsText(index))));
-    const truth = parseSettings(alterSettings(settingsText(0)));
     const limits = new Map<string, number>();
     // Not altered: a test may hand the controllers a wrong limit to see the checker notice.
     for (const team of parseSettings(settingsText(0)).teams.values())
       if (team.limit.cpu !== null) limits.set(team.name, team.limit.cpu / 1_000);
-    this.network = new Network(this.world, this.random);
-    this.checker = new Checker(() => this.world.now, limits, truth.workers.cancel);
-    this.state = new StateService(this.world, this.random, {
-      rps: truth.state.rps,
-      writeRps: truth.state.writeRps,
-      txnOps: truth.state.transactionWrites,
-      valueBytes: truth.state.valueBytes,
-    });
-    this.network.add({ address: STATE, serve: (request, from) => this.state.serve(request, from), state: "up" });
-    const gangs: Gangs = new Map();
-    this.cloud = new CloudService(
-      this.world,
-      this.random,
-      TYPES,
-      (info, type) =>
-        new Worker(
-          this.world,
-          this.network,
-          this.random,
-          this.checker,
-          info,
-          type,
-          this.behaviours,
-          ADDRESSES,
-          LABELS,
-          {
-            reportUs: truth.workers.report,
-            leaseUs: truth.workers.lease,
+    const spec = siteOf(alter(settingsText(0)));
+    let checker: Checker | null = null;
+    this.site = new Site({
+      spec,
+      options: { ...DEFAULT_OPTIONS, ...options },
+      seed,
+      settings: (index) => parseSettings(settingsAt(index, alter)),
+      quirks: { repeats: 0.2, lingers: 0.5 },
+      stateLog: 300,
+      room: (_type, zone, spot, cloud) => {
+        const present = TYPES.reduce((sum, { name }) => sum + cloud.count(name, zone, spot), 0);
+        return (spot ? this.rooms.spot : this.rooms.ordinary) - present;
+      },
+      watch: (world) => {
+        checker = new Checker(() => world.now, limits, spec.workers.cancelUs);
+        const { hearing } = checker;
+        const witness: Witness = {
+          ...nobody,
+          taskOn: (task, machine) => checker?.taskOn(task, machine),
+          taskOff: (task, machine) => checker?.taskOff(task, machine),
+          taskDone: (task) => checker?.taskDone(task),
+        };
+        return {
+          witness,
+          hearing,
+          log: (level, at, event, fields) => {
+            const text = JSON.stringify(fields, (_, value: unknown) =>
+              typeof value === "bigint" ? String(value) : value,
+            );
+            this.log.push(`${(world.now / S).toFixed(3)} ctl-${at} ${event} ${text}`);
+            // Malformed answers are errors that the stand-ins never give; any error is a defect.
+            if (level === "error") this.errors.push(this.log.at(-1) ?? event);
           },
-          gangs,
-        ),
-      truth.cloud.listLag,
-    );
-    this.network.add({ address: CLOUD, serve: (request) => this.cloud.serve(request), state: "up" });
-    this.nodes = ADDRESSES.map((address) => this.makeNode(address));
-    for (let at = 0; at < 3; at += 1) this.start(at);
+        };
+      },
+    });
+    if (checker === null) throw new Error("no checker");
+    this.checker = checker;
   }
 
-  private makeNode(address: string): Node {
-    const node: Node = {
-      clock: new HostClock(this.world, 1, 0),
-      host: {
-        address,
-        state: "refusing",
-        serve: (request) => {
-          const { controller, clock } = node;
-          if (controller === null) return new Promise(() => undefined);
-          return new Promise((resolve) => {
-            void controller.handle(request).then((response) => {
-              if (!clock.dead) resolve(response);
-            });
-          });
-        },
-      },
-      controller: null,
-      starts: 0,
-    };
-    this.network.add(node.host);
-    return node;
+  get world(): Site["world"] {
+    return this.site.world;
   }
 
-  private start(at: number): void {
-    const node = this.nodes[at];
-    const settings = this.settings[at];
-    if (node === undefined || settings === undefined) return;
-    node.starts += 1;
-    node.clock = new HostClock(this.world, 1 + this.random.next() * 0.0005, this.random.int(0, 1e9));
-    const { clock } = node;
-    const line =
-      (level: string): Log["info"] =>
-      (event, fields) => {
-        this.log.push(
-          `${(this.world.now / S).toFixed(3)} ctl-${at} ${event} ${JSON.stringify(fields ?? {}, (_, value: unknown) => (typeof value === "bigint" ? String(value) : value))}`,
-        );
-        // Malformed answers are errors that the stand-ins never give; any error is a defect.
-        if (level === "error") this.errors.push(this.log.at(-1) ?? event);
-      };
-    const outside = {
-      clock,
-      log: { error: line("error"), info: line("info"), debug: () => undefined },
-      http: this.network.client(node.host.address, clock),
-      random: this.random.next,
-    };
-    node.controller = new Controller(outside, settings, this.options, `inc-${at}-${node.starts}`);
-    node.host.state = "up";
-    node.controller.start();
+  get cloud(): Site["cloud"] {
+    return this.site.cloud;
+  }
+
+  get state(): Site["state"] {
+    return this.site.state;
   }
 
-  crash(at: number, backAfterUs = 3 * S): void {
-    const node = this.nodes[at];
-    if (node === undefined || node.controller === null) return;
-    node.clock.dead = true;
-    node.controller = null;
-    node.host.state = "refusing";
-    this.world.after(backAfterUs, () => this.start(at));
+  get network(): Site["network"] {
+    return this.site.network;
   }
 
-  nodeAddress(at: number): string {
-    return ADDRESSES[at] ?? "";
+  get users(): Site["users"] {
+    return this.site.users;
   }
 
-  /** Cuts this controller off from the state service (and only from it). */
-  cutFromState(at: number, forUs: number, mode: "hold" | "reset"): void {
-    const address = this.nodeAddress(at);
-    this.network.cut((a, b) => a === address && b === STATE, forUs, mode);
+  crash(at: number, backAfterUs?: number): void {
+    this.site.crash(at, backAfterUs);
   }
 
   /** The controller that took the block last. */
@@ -177,26 +160,6 @@
     return Number(/ctl-(\d)/.exec(taken.at(-1) ?? "")?.[1] ?? 0);
   }
 
-  /** Cuts a controller off from all machines, and from nothing else. */
-  cutFromWorkers(at: number, forUs: number, mode: "hold" | "reset"): void {
-    const address = this.nodeAddress(at);
-    const others = [STATE, CLOUD, "user", ...ADDRESSES];
-    this.network.cut((a, b) => a === address && !others.includes(b), forUs, mode);
-  }
-
-  /** Cuts one machine off from every controller. */
-  cutMachine(address: string, forUs: number, mode: "hold" | "reset"): void {
-    this.network.cut((a, b) => a === address && ADDRESSES.includes(b), forUs, mode);
-  }
-
-  /** Cuts all machines of a zone off from every controller. */
-  cutZone(zone: string, forUs: number, mode: "hold" | "reset"): void {
-    const inside = new Set(
-      this.cloud.running().flatMap(({ info, worker }) => (info.zone === zone && worker ? [worker.host.address] : [])),
-    );
-    this.network.cut((a, b) => inside.has(a) && ADDRESSES.includes(b), forUs, mode);
-  }
-
   async run(forUs: number): Promise<void> {
     try {
       await this.world.run(this.world.now + forUs, () => this.checker.tick());
@@ -220,125 +183,37 @@
     return this.log.some((line) => line.includes(` ${event} `));
   }
 
-  // Users -------------------------------------------------------------------------------------------------
-
-  private ask(
-    request: Request,
-    done: (status: number | null, body: { phase?: string }) => void,
-    timeoutUs = 5 * S,
-  ): void {
-    const clock = new HostClock(this.world, 1, 0);
-    const to = this.random.pick(ADDRESSES);
-    void this.network
-      .client("user", clock)
-      .call(to, this.alter(request), timeoutUs as Micros)
-      .then((outcome) => {
-        if (outcome.kind !== "answer") done(null, {});
-        else done(outcome.status, JSON.parse(outcome.body) as { phase?: string });
-      });
-  }
-
-  /** Submits as users do, retrying; then polls until told the end. */
   submit(job: Submission, behaviour: Partial<Behaviour> = {}): void {
-    this.behaviours.set(job.ref, {
-      cpus: job.cpus,
-      ramGb: Number(job.ramGb),
-      bundle: String(job.bundle),
-      sizeGb: Number(job.sizeGb),
-      runUs: job.shape === "daemon" ? null : 15 * S,
-      saveTakesS: Number(job.saveTakesS),
-      saves: Number(job.saveEveryS) > 0,
-      failsAlways: false,
-      gang: job.shape === "ensemble" ? job.shards : 0,
-      ...behaviour,
-    });
     this.checker.jobs.set(job.ref, {
       id: job.ref,
       team: job.owner,
       service: job.shape === "daemon",
       tasks: job.shards,
       cpus: job.cpus,
-      types: job.flavors as string[] | null,
-      zone: job.area as string | null,
-      together: job.together === true,
-      spread: job.spread === true,
-      spot: job.loaner === true,
+      types: job.flavors,
+      zone: job.area,
+      together: job.together,
+      spread: job.spread,
+      spot: job.loaner,
     });
-    const until = this.world.now + 60 * S;
-    const attempt = (): void =>
-      this.ask({ method: "POST", target: "/v2/runs", body: JSON.stringify(job) }, (status, body) => {
-        this.checker.submitted(job.ref, status ?? 0, body.phase ?? null);
-        if (status === 200 || status === 201) {
-          this.poll(job.ref);
-          // A retry may come at any later time.
-          if (this.random.chance(0.2)) this.world.after(this.random.int(0, 60 * S), () => this.resubmit(job));
-        } else if (this.world.now < until && status !== 400 && status !== 422) this.world.after(S, attempt);
-      });
-    attempt();
-  }
-
-  private resubmit(job: Submission): void {
-    this.ask({ method: "POST", target: "/v2/runs", body: JSON.stringify(job) }, (status, body) =>
-      this.checker.submitted(job.ref, status ?? 0, body.phase ?? null),
-    );
-  }
-
-  private poll(id: string): void {
-    this.ask(
-      { method: "GET", target: `/v2/runs/${id}`, body: "" },
-      (status, body) => {
-        this.checker.polled(id, status, body.phase ?? null);
-        if (status === 200) this.answers.push({ at: this.world.now, id, phase: body.phase ?? "" });
-        // Some go on asking after the end: the answer must stay.
-        if (this.checker.finalOf(id) === null || this.random.chance(0.5)) {
-          this.world.after(4 * S + this.random.int(0, 2 * S), () => this.poll(id));
-        }
-      },
-      2 * S,
-    );
-  }
-
-  /** Goes on polling past the end, as some users do. */
-  keepAsking(id: string): void {
-    this.poll(id);
-    this.world.after(5 * S, () => this.keepAsking(id));
+    this.site.submit(job, { runUs: job.shape === "daemon" ? null : 15 * S, ...behaviour });
   }
 
   /** Sends a copy of chosen commands to every other machine. */
   alsoSend(choose: (request: Request) => Request | null): void {
-    const clock = new HostClock(this.world, 1, 0);
+    const { controllers } = this.site.addresses;
     this.network.onRequest = (from, to, request) => {
       const others = this.cloud.running().filter((machine) => machine.worker?.host.address !== to);
-      if (others.length === 0 || !ADDRESSES.includes(from)) return;
+      if (others.length === 0 || !controllers.includes(from)) return;
       const copy = choose(request);
       if (copy === null) return;
-      const client = this.network.client(from, clock);
-      for (const { worker } of others) if (worker !== null) void client.call(worker.host.address, copy, S as Micros);
+      for (const { worker } of others) {
+        if (worker !== null)
+          void this.network.client(from, new HostClock(this.world, 1, 0)).call(worker.host.address, copy, S as Micros);
+      }
     };
   }
 
-  pollStranger(): void {
-    const id = `wk-9${this.random.int(10_000, 99_999)}`;
-    this.ask({ method: "GET", target: `/v2/runs/${id}`, body: "" }, (status, body) =>
-      this.checker.polled(id, status, body.phase ?? null),
-    );
-  }
-
-  cancel(id: string): void {
-    if (!this.checker.accepted().includes(id)) {
-      // Users cancel what they know to be accepted; an earlier 404 could arrive after the acceptance.
-      this.world.after(S, () => this.cancel(id));
-      return;
-    }
-    this.checker.cancelAsked(id);
-    const attempt = (): void =>
-      this.ask({ method: "POST", target: `/v2/runs/${id}/abort`, body: "" }, (status, body) => {
-        this.checker.cancelAnswered(id, status ?? 0, body.phase ?? null);
-        if (status !== 200) this.world.after(S, attempt);
-      });
-    attempt();
-  }
-
   /** Tasks that ought to run for ever and do not. */
   missingReplicas(): string[] {
     return this.checker.accepted().flatMap((id) => {
@@ -355,7 +230,6 @@
     });
   }
 }
-
 /** A job like the ones that users send. */
 export const randomJob = (random: Random, number: number): Submission => {
   const service = random.chance(0.3);
