--- /dev/null
+++ b/src/coordination/decisions/eligibility.ts
@@ -0,0 +1,61 @@
+import type { Job, Machine } from "../../bookkeeping/picture.js";
+import type { MachineType } from "../../protocol/cloud.js";
+import { type JobSpec, PRIORITIES } from "../../protocol/user.js";
+import type { Picture } from "./picture.js";
+
+export const rankOf = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
+
+/** May the job use such a machine at all? */
+export const allows = (spec: JobSpec, typeName: string, zone: string, spot: boolean): boolean =>
+  (spec.types === null || spec.types.includes(typeName)) &&
+  (spec.zone === null || spec.zone === zone) &&
+  (!spot || spec.spot);
+
+/** Zones of the job's tasks, wherever one may be; a machine known by name only has the zone "". */
+export const zoneCounts = (job: Job): Map<string, number> => {
+  const counts = new Map<string, number>();
+  for (const task of job.placed) {
+    const zone = task.on?.zone ?? "";
+    counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  }
+  return counts;
+};
+
+/** Given where the job's other tasks may be, can one more go to this zone? */
+export const zoneAllowed = (spec: JobSpec, counts: ReadonlyMap<string, number>, zone: string): boolean => {
+  const unknown = counts.get("") ?? 0;
+  if (spec.oneZone && [...counts].some(([other, count]) => count > 0 && other !== zone)) return false;
+  return !spec.spread || (counts.get(zone) ?? 0) + unknown < Math.ceil(spec.tasks / 2);
+};
+
+/** Why a machine takes no new tasks now. */
+export type Unready =
+  | "type unknown"
+  | "booting"
+  | "draining"
+  | "notice"
+  | "lease over"
+  | "strays"
+  | "avoided"
+  | "silent"
+  | "not heard under our token";
+
+export const unready = (machine: Machine, { now, silentAfter, firstToken }: Picture): Unready | null => {
+  if (machine.type === null) return "type unknown";
+  if (machine.state !== "up") return "booting";
+  if (machine.drain !== null || machine.deleting) return "draining";
+  if (machine.noticeUntil !== null) return "notice";
+  if (machine.leaseOver) return "lease over";
+  if (machine.strays.size > 0) return "strays";
+  if (machine.avoidUntil > now) return "avoided";
+  if (now - machine.lastHeard > silentAfter) return "silent";
+  return machine.seenToken < firstToken ? "not heard under our token" : null;
+};
+
+/** Machines that can take tasks now. */
+export function* readyMachines(picture: Picture): Generator<readonly [Machine, MachineType]> {
+  for (const machine of picture.block.machines.values()) {
+    const { type } = machine;
+    if (type !== null && unready(machine, picture) === null) yield [machine, type];
+  }
+}
--- /dev/null
+++ b/src/coordination/decisions/order.ts
@@ -0,0 +1,39 @@
+import type { Job } from "../../bookkeeping/picture.js";
+import { seconds } from "../../transport/clock.js";
+import { weight } from "../placement/bfgp.js";
+import { rankOf } from "./eligibility.js";
+import type { Picture } from "./picture.js";
+
+/** Jobs with something to place now, most important and largest first. */
+export const waitingJobs = ({ block, now }: Picture): Job[] => {
+  const jobs: Job[] = [];
+  for (const job of block.jobs.values()) {
+    if (job.cancelled || job.ending || job.retryAfter > now) continue;
+    // Tasks of a large job come into being range by range; that adds to the picture without changing it.
+    if (job.waiting.size === 0) block.openRange(job);
+    if (job.waiting.size > 0) jobs.push(job);
+  }
+  let reference = { cpu: 1, gpu: 0, ram: 1 };
+  for (const type of block.types().values()) if (type.capacity.cpu > reference.cpu) reference = type.capacity;
+  const keyed = jobs.map((job) => ({
+    job,
+    rank: rankOf(job.spec),
+    borrowed: block.withinGuarantee(job.spec) ? 0 : 1,
+    size: weight(job.spec.demand, reference),
+    short: job.spec.shape === "service" ? 1 - job.placed.size / job.spec.tasks : 0,
+    due: job.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : job.seenAt + seconds(job.spec.deadlineS),
+  }));
+  keyed.sort(
+    (a, b) =>
+      a.rank - b.rank ||
+      a.borrowed - b.borrowed ||
+      b.size - a.size ||
+      // Where room is short for good, a replica is worth most to a service that has few of its own.
+      b.short - a.short ||
+      (a.short > 0 ? a.job.spec.tasks - b.job.spec.tasks : 0) ||
+      a.due - b.due ||
+      a.job.seenAt - b.job.seenAt ||
+      (a.job.spec.id < b.job.spec.id ? -1 : 1),
+  );
+  return keyed.map((entry) => entry.job);
+};
--- /dev/null
+++ b/src/coordination/decisions/picture.ts
@@ -0,0 +1,23 @@
+import type { Block } from "../../bookkeeping/block.js";
+import type { Options } from "../../settings/options.js";
+import type { Settings } from "../../settings/settings.js";
+import type { Micros } from "../../transport/clock.js";
+import type { Work } from "../placement/ranking.js";
+
+/**
+ * What decisions are made from. They change nothing in it: what is to happen comes out as actions with their reasons,
+ * each of which is carried out before the next one is asked for, so that it counts for what follows. The controller's
+ * loops carry them out through records and commands, the fast model of what-if at once.
+ */
+export interface Picture {
+  readonly now: Micros;
+  readonly block: Block;
+  readonly settings: Pick<Settings, "teams" | "objectives">;
+  readonly options: Options;
+  /** A machine not heard for so long gets nothing new. */
+  readonly silentAfter: number;
+  /** A worker that has not seen this token is not known well enough. */
+  readonly firstToken: number;
+  /** Counts what is looked at. */
+  readonly work: Work;
+}
--- /dev/null
+++ b/src/coordination/decisions/preemption.ts
@@ -0,0 +1,169 @@
+import type { Machine, Task } from "../../bookkeeping/picture.js";
+import type { Demand } from "../../protocol/user.js";
+import { type Micros, seconds } from "../../transport/clock.js";
+import { fits, minus, plus } from "../placement/bfgp.js";
+import { allows, rankOf, zoneAllowed, zoneCounts } from "./eligibility.js";
+import { type Floor, zonesWithRoom } from "./floor.js";
+import type { Picture } from "./picture.js";
+
+const PREEMPT_PAUSE = seconds(3);
+const MOVE_PAUSE = seconds(0.3);
+/** After a look in vain; and so many looks a round. */
+const PREEMPT_RETRY = seconds(1);
+const MAX_PREEMPTIONS = 24;
+/** Stopped tasks that save nothing leave within moments. */
+const PROMISE = seconds(1);
+/** Work is only stopped for a guarantee once this share of the time that it has is over: room may come up by itself. */
+const GUARANTEE_PATIENCE = 0.6;
+const GUARANTEE_TIME = seconds(10);
+
+/** Why a task is stopped for another: its priority is lower, its team borrows, or it has a place elsewhere. */
+export type StopReason = "outranked" | "guarantee" | "moved";
+
+export interface Victim {
+  readonly task: Task;
+  readonly graceS: number;
+  /** Not to be placed again before. */
+  readonly notBefore: Micros;
+  readonly reason: StopReason;
+}
+
+export type PreemptAction =
+  | { readonly kind: "stop"; readonly by: Task; readonly machine: Machine; readonly victims: readonly Victim[] }
+  /** Room is not to be made for the task again before. */
+  | { readonly kind: "look later"; readonly task: Task; readonly at: Micros };
+
+/** Room that stopped tasks are about to leave, beyond what they were stopped for; kept from round to round. */
+export type Promised = Map<Machine, { free: Demand; readonly until: Micros }>;
+
+const patience = ({ settings }: Picture): number => {
+  const objective = settings.objectives.find(({ kind }) => kind === "guarantee");
+  return (objective?.within ?? GUARANTEE_TIME) * GUARANTEE_PATIENCE;
+};
+
+const mayStop = (picture: Picture, task: Task, victim: Task): "outranked" | "guarantee" | null => {
+  const { block, now, settings } = picture;
+  if (victim.stop !== null || victim.launch.kind !== "seen" || victim.job.cancelled) return null;
+  if (rankOf(victim.job.spec) > rankOf(task.job.spec)) return "outranked";
+  const other = victim.job.spec;
+  // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
+  if (other.shape === "service") return null;
+  if (other.team === task.job.spec.team || now - task.waitingSince < patience(picture)) return null;
+  const guaranteed = settings.teams.get(other.team)?.guaranteed;
+  const beyond = guaranteed === undefined || block.teamUse(other.team).cpu > guaranteed.cpu;
+  const allowed = beyond && block.withinGuarantee(task.job.spec) && rankOf(other) >= rankOf(task.job.spec);
+  return allowed ? "guarantee" : null;
+};
+
+/**
+ * A replica that could as well run in another zone, with room for it there now, makes way for one of a spread
+ * job that cannot: it is moved, which takes seconds, where the other would wait for ever.
+ */
+const movable = (task: Task, victim: Task, floor: Floor): boolean => {
+  const { spec } = victim.job;
+  if (!task.job.spec.spread || spec.shape !== "service" || victim.job === task.job) return false;
+  if (victim.stop !== null || victim.launch.kind !== "seen" || rankOf(spec) < rankOf(task.job.spec)) return false;
+  const here = victim.on?.zone ?? "";
+  let zones = floor.zonesWithRoom.get(victim.job);
+  if (zones === undefined) {
+    zones = zonesWithRoom(victim.job, floor);
+    floor.zonesWithRoom.set(victim.job, zones);
+  }
+  for (const zone of zones) if (zone !== here) return true;
+  return false;
+};
+
+/** Stops the cheapest set of tasks on one machine that makes room for the task, where the rules allow it. */
+function* preempt(
+  picture: Picture,
+  promised: Promised,
+  task: Task,
+  floor: Floor,
+  counts: Map<string, number>,
+): Generator<PreemptAction, boolean> {
+  const { now } = picture;
+  const { spec } = task.job;
+  // Looks at every task of every machine, so it is not done for all that wait in each round.
+  floor.preemptions += 1;
+  let best: { victims: Task[]; cost: number; machine: Machine; free: Demand } | null = null;
+  const ran = (victim: Task): number => (victim.runningSince === null ? 0 : now - victim.runningSince);
+  for (const machine of floor.machines) {
+    if (machine.type === null || !allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
+    if (!zoneAllowed(spec, counts, machine.zone)) continue;
+    const victims: Task[] = [];
+    let free = minus(machine.type.capacity, machine.used);
+    let cost = 0;
+    const order: Task[] = [];
+    picture.work.visited += machine.tasks.size;
+    for (const victim of machine.tasks) {
+      if (mayStop(picture, task, victim) !== null || movable(task, victim, floor)) order.push(victim);
+    }
+    if (order.length === 0) continue;
+    order.sort((a, b) => rankOf(b.job.spec) - rankOf(a.job.spec) || ran(a) - ran(b));
+    for (const victim of order) {
+      if (fits(spec.demand, free)) break;
+      victims.push(victim);
+      free = plus(free, victim.job.spec.demand);
+      cost += ran(victim) + seconds(1);
+    }
+    if (victims.length > 0 && fits(spec.demand, free) && (best === null || cost < best.cost)) {
+      best = { victims, cost, machine, free };
+    }
+  }
+  yield { kind: "look later", task, at: (now + (best === null ? PREEMPT_RETRY : PREEMPT_PAUSE)) as Micros };
+  if (best === null) return false;
+  const { machine } = best;
+  promised.set(machine, { free: minus(best.free, spec.demand), until: (now + PROMISE) as Micros });
+  counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+  const victims = best.victims.map((victim): Victim => {
+    const moved = movable(task, victim, floor);
+    const { checkpointS, saveS } = victim.job.spec;
+    return {
+      task: victim,
+      graceS: checkpointS > 0 ? Math.ceil(saveS) : 0,
+      // Its own team is now short of its guarantee, too; without a pause it would be back before the other.
+      notBefore: (now + (moved ? MOVE_PAUSE : PREEMPT_PAUSE)) as Micros,
+      reason: mayStop(picture, task, victim) ?? "moved",
+    };
+  });
+  yield { kind: "stop", by: task, machine, victims };
+  // Their room is spoken for: nothing else of this round is to count on it.
+  for (const { roomy } of floor.pools) {
+    const at = roomy.findIndex((server) => server.machine === machine);
+    if (at >= 0) roomy.splice(at, 1);
+  }
+  return true;
+}
+
+/** Room that stopped tasks are about to leave, beyond what they were stopped for. */
+function* usePromised(
+  picture: Picture,
+  promised: Promised,
+  task: Task,
+  counts: Map<string, number>,
+): Generator<PreemptAction, boolean> {
+  const { spec } = task.job;
+  for (const [machine, room] of promised) {
+    if (!fits(spec.demand, room.free) || !allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
+    if (!zoneAllowed(spec, counts, machine.zone)) continue;
+    room.free = minus(room.free, spec.demand);
+    counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+    yield { kind: "look later", task, at: (picture.now + PREEMPT_PAUSE) as Micros };
+    return true;
+  }
+  return false;
+}
+
+/** For the task that found no room and for the rest of its job: after a wave hundreds wait at once. */
+export function* makeRoom(picture: Picture, promised: Promised, left: Task, floor: Floor): Generator<PreemptAction> {
+  const { now } = picture;
+  const counts = zoneCounts(left.job);
+  for (const [machine, { until }] of promised) if (until <= now) promised.delete(machine);
+  for (const task of left.job.waiting) {
+    if (floor.preemptions >= MAX_PREEMPTIONS) return;
+    if (task.notBefore > now || task.preemptAfter > now) continue;
+    const made =
+      (yield* usePromised(picture, promised, task, counts)) || (yield* preempt(picture, promised, task, floor, counts));
+    if (!made) return;
+  }
+}
--- /dev/null
+++ b/src/coordination/decisions/round.ts
@@ -0,0 +1,137 @@
+import type { Job, Machine, Task } from "../../bookkeeping/picture.js";
+import { assign } from "../placement/bfgp.js";
+import { zoneCounts } from "./eligibility.js";
+import { type Candidate, copyOf, type Floor, knownFull, noteFull, roomiest, survey } from "./floor.js";
+import { waitingJobs } from "./order.js";
+import type { Picture } from "./picture.js";
+import { makeRoom, type PreemptAction, type Promised } from "./preemption.js";
+import { startRun } from "./run.js";
+
+/** Why tasks of a job go on waiting after a round. */
+export type WaitReason =
+  /** One more would pass the team's limit. */
+  | "team limit"
+  /** No machine that the job may use has room for one. */
+  | "no room"
+  /** No zone has room for a job whose tasks stay in one. */
+  | "no zone"
+  /** A gang's tasks are in back-off, or some of them are still on machines. */
+  | "gang incomplete";
+
+export type RoundAction =
+  | { readonly kind: "place"; readonly task: Task; readonly machine: Machine }
+  /** A gang that lost a task cannot go on. */
+  | { readonly kind: "dissolve"; readonly job: Job }
+  | { readonly kind: "wait"; readonly job: Job; readonly reason: WaitReason }
+  | PreemptAction;
+
+/** What is kept from round to round. */
+export interface RoundMemory {
+  readonly promised: Promised;
+}
+
+export const newMemory = (): RoundMemory => ({ promised: new Map() });
+
+/** What came of a job: the first task without room, or that it may go on, or nothing to make room for. */
+type Left = Task | "more" | null;
+
+/** All of a gang's open tasks in this round, or none. */
+function* placeGang(
+  picture: Picture,
+  job: Job,
+  floor: Floor,
+  counts: Map<string, number>,
+): Generator<RoundAction, Left> {
+  const { block, now } = picture;
+  const { spec } = job;
+  while (block.openRange(job));
+  const tasks = [...job.waiting].sort((a, b) => a.index - b.index);
+  const first = tasks[0];
+  if (first === undefined) return null;
+  if (tasks.some((task) => task.notBefore > now)) {
+    yield { kind: "wait", job, reason: "gang incomplete" };
+    return null;
+  }
+  if (job.placed.size > 0) {
+    // The sooner the rest is stopped, the sooner it starts anew together.
+    yield { kind: "dissolve", job };
+    return null;
+  }
+  if (!block.withinLimit(spec, tasks.length)) {
+    yield { kind: "wait", job, reason: "team limit" };
+    return null;
+  }
+  // Works on copies: nothing of a gang that does not fit whole must be left behind.
+  const pools = floor.pools.map((pool) => ({ ...pool, roomy: pool.roomy.map(copyOf) }));
+  const run = startRun(picture, spec, { ...floor, pools }, counts);
+  const chosen: Candidate[] = [];
+  for (const task of tasks) {
+    const server = run.next();
+    if (server === null) return task;
+    assign(spec, server);
+    run.taken(server);
+    chosen.push(server);
+  }
+  const originals = new Map(floor.pools.flatMap(({ roomy }) => roomy.map((server) => [server.machine, server])));
+  for (const [index, task] of tasks.entries()) {
+    const server = originals.get(chosen[index]?.machine as Machine);
+    if (server === undefined) continue;
+    yield { kind: "place", task, machine: server.machine };
+    assign(spec, server);
+  }
+  return null;
+}
+
+/** Places a job's waiting tasks, one after the other. */
+function* place(picture: Picture, job: Job, floor: Floor): Generator<RoundAction, Left> {
+  const { block, now } = picture;
+  const { spec } = job;
+  const counts = zoneCounts(job);
+  if (spec.oneZone && job.placed.size === 0) {
+    const zone = roomiest(job, floor);
+    if (zone === null) return [...job.waiting][0] ?? null;
+    // Keeps the other zones out even before the first task is there.
+    counts.set(zone, Number.MIN_VALUE);
+  }
+  if (spec.shape === "gang") return yield* placeGang(picture, job, floor, counts);
+  const tasks = [...job.waiting].filter((task) => task.notBefore <= now).sort((a, b) => a.index - b.index);
+  const first = tasks[0];
+  if (first !== undefined && knownFull(spec, floor)) {
+    if (block.withinLimit(spec)) return first;
+    yield { kind: "wait", job, reason: "team limit" };
+    return null;
+  }
+  const run = startRun(picture, spec, floor, counts);
+  for (const task of tasks) {
+    if (!block.withinLimit(spec)) {
+      yield { kind: "wait", job, reason: "team limit" };
+      return null;
+    }
+    const server = run.next();
+    if (server === null) {
+      noteFull(spec, floor);
+      return task;
+    }
+    yield { kind: "place", task, machine: server.machine };
+    assign(spec, server);
+    run.taken(server);
+  }
+  return job.waiting.size === 0 && block.openRange(job) ? "more" : null;
+}
+
+/**
+ * One placement round: what is waiting, in order, each task on the machine that Algorithm 1 chooses (docs/design.md),
+ * and room made where the rules allow it.
+ */
+export function* decideRound(picture: Picture, memory: RoundMemory): Generator<RoundAction> {
+  const jobs = waitingJobs(picture);
+  if (jobs.length === 0) return;
+  const floor = survey(picture, jobs);
+  for (const job of jobs) {
+    let left = yield* place(picture, job, floor);
+    while (left === "more") left = yield* place(picture, job, floor);
+    if (left === null) continue;
+    yield { kind: "wait", job, reason: job.spec.oneZone && job.placed.size === 0 ? "no zone" : "no room" };
+    if (job.spec.shape !== "gang") yield* makeRoom(picture, memory.promised, left, floor);
+  }
+}
