--- a/src/commands/local.ts
+++ b/src/commands/local.ts
@@ -1,2 +1,150 @@
+import { readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 import type { Command } from "commander";
-export const addLocal = (_program: Command): void => {};
+import type { Submission } from "../model/index.js";
+import { CommandError, DONE, Progress, positiveNumber, REFUSED, say, wholeNumber } from "./cli.js";
+
+interface LocalFlags {
+  readonly machines: number;
+  readonly speed: number;
+  readonly seed: number;
+  readonly port: number;
+  readonly jobs?: string;
+  readonly stay?: boolean;
+  readonly json?: boolean;
+}
+
+export const PROGRAM = fileURLToPath(new URL("../main.js", import.meta.url));
+const LOOK = 250;
+const MOST_MACHINES = 400;
+
+const readJobs = async (file: string): Promise<readonly Submission[]> => {
+  const [{ Ajv }, { jobSchema }] = await Promise.all([import("ajv"), import("../whatif/index.js")]);
+  let value: unknown;
+  try {
+    value = JSON.parse(readFileSync(file, "utf8"));
+  } catch (error) {
+    const why = error instanceof SyntaxError ? "not JSON" : ((error as NodeJS.ErrnoException).code ?? "cannot be read");
+    throw new CommandError(`${file}: ${why}`, true);
+  }
+  const validate = new Ajv({ allowUnionTypes: true })
+    .addSchema(jobSchema)
+    .compile<Submission[]>({ type: "array", minItems: 1, items: { $ref: "rainridge-job" } });
+  if (validate(value)) return value;
+  const first = validate.errors?.[0];
+  const extra: unknown = first?.params.additionalProperty ?? first?.params.missingProperty ?? "";
+  throw new CommandError(
+    `${file}: ${first?.instancePath || "/"} ${first?.message ?? "invalid"} ${String(extra)}`.trim(),
+    true,
+  );
+};
+
+const local = async (flags: LocalFlags): Promise<void> => {
+  if (flags.machines < 4 || flags.machines > MOST_MACHINES) {
+    throw new CommandError(`--machines ${flags.machines}: must be 4 to ${MOST_MACHINES}`, true);
+  }
+  const [model, { Ledger }, { DEFAULT_OPTIONS }, { summaryOf }] = await Promise.all([
+    import("../model/index.js"),
+    import("../whatif/index.js"),
+    import("../settings/options.js"),
+    import("./whatif.js"),
+  ]);
+  const jobs = flags.jobs === undefined ? model.sampleJobs(flags.seed) : await readJobs(flags.jobs);
+  const spec = model.sampleSite(flags.machines);
+  const books: InstanceType<typeof Ledger>[] = [];
+  const tell = (text: string): void => {
+    process.stderr.write(`${text}\n`);
+  };
+  const site = await model.LocalSite.start({
+    spec,
+    options: DEFAULT_OPTIONS,
+    seed: flags.seed,
+    port: flags.port,
+    speed: flags.speed,
+    evenBoots: true,
+    program: PROGRAM,
+    onError: (what) => tell(`rainridge: ${what}`),
+    watch: (timeline) => {
+      const ledger = new Ledger(() => timeline.now, spec);
+      books.push(ledger);
+      return { witness: ledger, hearing: ledger };
+    },
+  }).catch((error: unknown) => {
+    if (error instanceof model.PortError) throw new CommandError(`${error.message}; another --port`, true);
+    throw error;
+  });
+  const [ledger] = books;
+  if (ledger === undefined) throw new Error("no ledger");
+  process.once("exit", () => site.kill());
+  let interrupted = false;
+  const stopped = new Promise<void>((resolve) => {
+    const end = (): void => {
+      interrupted = true;
+      resolve();
+    };
+    process.once("SIGINT", end);
+    process.once("SIGTERM", end);
+  });
+  const { controllers, state, cloud } = site.addresses;
+  tell(`controllers ${controllers.join(", ")}; state service ${state}; cloud ${cloud}; logs in ${site.folder}`);
+  for (const job of jobs) {
+    ledger.opened(job, 0);
+    site.submit(job);
+  }
+  const progress = new Progress(true);
+  const finished = new Promise<void>((resolve) => {
+    const look = (): void => {
+      if (interrupted) return;
+      ledger.sample();
+      const { machines, running, queued } = ledger.latest;
+      const done = jobs.length - ledger.openJobs;
+      progress.show(
+        `${Math.round(site.timeline.now / 1e6)} s: ${machines} machines, ${running} tasks running, ${queued} waiting, ${ledger.openJobs} of ${jobs.length} jobs open, ${done} ended or serving`,
+      );
+      if (ledger.openJobs === 0) resolve();
+      else setTimeout(look, LOOK);
+    };
+    look();
+  });
+  await Promise.race([finished, stopped]);
+  progress.end();
+  const open = ledger.openJobs;
+  if (flags.stay === true && !interrupted) {
+    tell(`all jobs have ended; serving until Ctrl-C. Try: rainridge submit --server ${controllers[0] ?? ""} job.json`);
+    await stopped;
+  }
+  const outcome = ledger.outcome({
+    mode: "loopback",
+    trace: flags.jobs ?? "sample",
+    seed: flags.seed,
+    ended: open === 0 ? "finished" : "until",
+    unmatched: [],
+    remarks: [],
+  });
+  await site.stop();
+  say(flags.json === true ? JSON.stringify(outcome) : summaryOf(outcome));
+  process.exit(open === 0 ? DONE : REFUSED);
+};
+
+/** A whole site on this machine: what a newcomer runs first. */
+export const addLocal = (program: Command): void => {
+  program
+    .command("local")
+    .description("run a whole site on loopback: three controllers, emulated machines, state service, cloud and users")
+    .option("--machines <n>", "machines that the emulated cloud has", wholeNumber, 16)
+    .option("--speed <n>", "emulated tasks run so many times faster", positiveNumber, 1)
+    .option("--seed <n>", "luck of the sample's sizes, boots and fetches", wholeNumber, 1)
+    .option("--port <n>", "first of the eight ports for controllers, state service and cloud", wholeNumber, 7_400)
+    .option("--jobs <file>", "jobs to submit instead of the sample (JSON list)")
+    .option("--stay", "go on serving until Ctrl-C, so that submit, show and abort can be tried")
+    .option("--json", "the summary as JSON")
+    .addHelpText(
+      "after",
+      `
+Examples:
+  rainridge local
+  rainridge local --machines 40 --speed 4
+  rainridge local --stay        # then: rainridge submit --server 127.0.0.1:7400 examples/job.json`,
+    )
+    .action(local);
+};
--- a/src/coordination/decisions/eligibility.ts
+++ b/src/coordination/decisions/eligibility.ts
@@ -42,7 +42,8 @@
   | "silent"
   | "not heard under our token";
 
-export const unready = (machine: Machine, { now, silentAfter, firstToken }: Picture): Unready | null => {
+export const unready = (machine: Machine, picture: Picture): Unready | null => {
+  const { now, silentAfter, firstToken } = picture;
   if (machine.type === null) return "type unknown";
   if (machine.state !== "up") return "booting";
   if (machine.drain !== null || machine.deleting) return "draining";
--- a/src/coordination/decisions/floor.ts
+++ b/src/coordination/decisions/floor.ts
@@ -3,7 +3,7 @@
 import type { Demand, JobSpec } from "../../protocol/user.js";
 import { fits, howMany, type Images, minus } from "../placement/bfgp.js";
 import type { Ranked } from "../placement/ranking.js";
-import { allows, readyMachines, zoneAllowed, zoneCounts } from "./eligibility.js";
+import { allows, readyMachines, unready, zoneAllowed, zoneCounts } from "./eligibility.js";
 import { waitingJobs } from "./order.js";
 import type { Picture } from "./picture.js";
 
@@ -60,6 +60,8 @@
   readonly full: Map<string, Demand[]>;
   /** Zones with room for a job's task now. */
   readonly zonesWithRoom: Map<Job, ReadonlySet<string>>;
+  /** Machines of the tasks that a job had placed when it was first looked at for something to stop. */
+  readonly placedOn: Map<Job, readonly Machine[]>;
   preemptions: number;
 }
 
@@ -90,15 +92,17 @@
     const { cpu, gpu, ram } = spec.demand;
     least = { cpu: Math.min(least.cpu, cpu), gpu: Math.min(least.gpu, gpu), ram: Math.min(least.ram, ram) };
   }
-  const pools = new Map<string, Pool>();
+  const pools: Pool[] = [];
   const machines: Machine[] = [];
-  for (const [machine, type] of readyMachines(picture)) {
+  // Written out, since it is walked for every machine in every round: no generator, no key made up for each.
+  for (const machine of picture.block.machines.values()) {
+    const { type } = machine;
+    if (type === null || unready(machine, picture) !== null) continue;
     const { typeName, zone, spot } = machine;
-    const key = `${typeName}/${zone}/${spot}`;
-    let pool = pools.get(key);
+    let pool = pools.find((known) => known.zone === zone && known.spot === spot && known.typeName === typeName);
     if (pool === undefined) {
       pool = { typeName, zone, spot, total: 0, staying: 0, roomy: [] };
-      pools.set(key, pool);
+      pools.push(pool);
     }
     pool.total += 1;
     if (machine.replicas > 0) pool.staying += 1;
@@ -113,11 +117,12 @@
   }
   picture.work.visited += machines.length;
   return {
-    pools: [...pools.values()],
+    pools,
     machines,
     broad: broadZones(picture),
     full: new Map(),
     zonesWithRoom: new Map(),
+    placedOn: new Map(),
     preemptions: 0,
   };
 };
--- a/src/coordination/decisions/preemption.ts
+++ b/src/coordination/decisions/preemption.ts
@@ -96,11 +96,22 @@
       const moves = movableJob(task, job);
       if (stop === null && !moves) continue;
       this.reasons.set(job, { stop, moves });
-      picture.work.visited += job.placed.size;
-      for (const { on } of job.placed) if (on !== null) this.machines.add(on);
+      for (const machine of this.placedOn(picture, job)) this.machines.add(machine);
     }
   }
 
+  /** Once a round: what is placed meanwhile has not been seen running, and is not stopped. */
+  private placedOn({ work }: Picture, job: Job): readonly Machine[] {
+    const known = this.floor.placedOn.get(job);
+    if (known !== undefined) return known;
+    work.visited += job.placed.size;
+    const machines = new Set<Machine>();
+    for (const { on } of job.placed) if (on !== null) machines.add(on);
+    const list = [...machines];
+    this.floor.placedOn.set(job, list);
+    return list;
+  }
+
   /** Moved where that is possible: it costs the least. */
   reason(victim: Task): StopReason | null {
     const known = this.reasons.get(victim.job);
--- a/src/coordination/decisions/rental.ts
+++ b/src/coordination/decisions/rental.ts
@@ -3,8 +3,7 @@
 import type { Demand, JobSpec } from "../../protocol/user.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { fits, howMany, minus } from "../placement/bfgp.js";
-import { allows, zoneAllowed, zoneCounts } from "./eligibility.js";
-import { candidates } from "./floor.js";
+import { allows, readyMachines, zoneAllowed, zoneCounts } from "./eligibility.js";
 import { waitingJobs } from "./order.js";
 import type { Picture } from "./picture.js";
 
@@ -105,21 +104,11 @@
 const order = (a: string, b: string): number => (a < b ? -1 : a > b ? 1 : 0);
 
 const presentBins = (picture: Picture, market: Market): Bin[] => {
-  const bins: Bin[] = candidates(picture).flatMap(({ machine, free }) =>
-    machine.type === null
-      ? []
-      : [
-          {
-            type: machine.type,
-            zone: machine.zone,
-            spot: machine.spot,
-            machine,
-            free,
-            used: machine.tasks.size > 0,
-            reason: null,
-          },
-        ],
-  );
+  const bins: Bin[] = [];
+  for (const [machine, type] of readyMachines(picture)) {
+    const { zone, spot, used, tasks } = machine;
+    bins.push({ type, zone, spot, machine, free: minus(type.capacity, used), used: tasks.size > 0, reason: null });
+  }
   // Fullest and cheapest first: what stays empty at the end is what can go back.
   bins.sort(
     (a, b) =>
@@ -151,13 +140,20 @@
 }
 
 /** Tasks that ought to end soon, the soonest first: what follows on their room need not wait for a boot. */
-const endings = ({ block, now }: Picture): Ending[] => {
+const endings = ({ block, now, settings }: Picture): Ending[] => {
   const list: Ending[] = [];
+  // Nobody waits for what ends later than the most patient class may wait.
+  let longest = 0;
+  for (const { kind, within } of settings.objectives) {
+    if (kind === "wait" || kind === "guarantee") longest = Math.max(longest, (within ?? 0) * PATIENCE_SHARE);
+  }
   for (const { spec, placed } of block.jobs.values()) {
     if (spec.shape === "service" || spec.estimateS <= 0) continue;
+    const estimate = seconds(spec.estimateS);
     for (const { runningSince, on } of placed) {
       if (runningSince === null || on === null || on.type === null || on.drain !== null) continue;
-      const left = Math.max(0, runningSince + seconds(spec.estimateS) - now);
+      const left = Math.max(0, runningSince + estimate - now);
+      if (left > longest) continue;
       list.push({ left, cpu: spec.demand.cpu, typeName: on.typeName, zone: on.zone, spot: on.spot });
     }
   }
--- a/src/model/executor.ts
+++ b/src/model/executor.ts
@@ -126,7 +126,7 @@
   /** What the task has saved by itself so far is kept outside the machine. */
   private checkpoint(task: RunningTask, all = false): void {
     const { truth } = this.around;
-    const every = truth.behaviours.get(jobOf(task.shard))?.saveEveryUs ?? 0;
+    const every = truth.behaviour(jobOf(task.shard))?.saveEveryUs ?? 0;
     if (every <= 0 || task.begunAt === null || task.phase === "exited" || truth.isDone(task.shard)) return;
     const progress = truth.progress(task.shard) + this.ran(task) * this.speed;
     truth.save(task.shard, all ? progress : Math.floor(progress / every) * every);
@@ -143,7 +143,7 @@
   }
 
   private halt(task: RunningTask, windDownS: number): void {
-    const behaviour = this.around.truth.behaviours.get(jobOf(task.shard));
+    const behaviour = this.around.truth.behaviour(jobOf(task.shard));
     const can = task.phase === "running" && behaviour !== undefined && behaviour.saveEveryUs > 0;
     if (!can || windDownS * S < behaviour.saveTakesUs) {
       if (task.phase !== "flushing" || windDownS === 0) this.exit(task, "halted");
@@ -166,7 +166,7 @@
   private fits(behaviour: Behaviour, active: readonly RunningTask[]): boolean {
     let { cpus, gpus, ramGb } = behaviour;
     for (const { shard } of active) {
-      const other = this.around.truth.behaviours.get(jobOf(shard));
+      const other = this.around.truth.behaviour(jobOf(shard));
       cpus += other?.cpus ?? 0;
       gpus += other?.gpus ?? 0;
       ramGb += other?.ramGb ?? 0;
@@ -176,7 +176,7 @@
   }
 
   private launch(shard: string, attempt: number, key: string): void {
-    const behaviour = this.around.truth.behaviours.get(jobOf(shard));
+    const behaviour = this.around.truth.behaviour(jobOf(shard));
     const task: RunningTask = {
       shard,
       try: attempt,
@@ -204,7 +204,7 @@
     // Tasks of several jobs may wait for one image.
     const ready = (other: RunningTask): void =>
       this.awake(() => {
-        const own = this.around.truth.behaviours.get(jobOf(other.shard));
+        const own = this.around.truth.behaviour(jobOf(other.shard));
         if (own !== undefined && other.generation === 0 && other.phase === "pulling") this.begin(other, own);
       });
     if (this.images.has(bundle)) {
@@ -240,7 +240,7 @@
     for (const size of this.images.values()) sum += size;
     const used = new Set<string>();
     for (const { shard, phase } of this.tasks.values()) {
-      const other = this.around.truth.behaviours.get(jobOf(shard));
+      const other = this.around.truth.behaviour(jobOf(shard));
       if (phase !== "exited" && other !== undefined) used.add(other.bundle);
     }
     for (const [name, size] of this.images) {
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -43,8 +43,9 @@
 const QUIET_PLAN = 2 * S;
 const DRAIN_TICK = 250_000;
 const ROUND_GAP = 10_000;
-/** A round over a thousand machines keeps a controller busy for some milliseconds, and it rests four times as long. */
-const ROUND_COST_PER_MACHINE = 8;
+/** With more machines rounds and plans are further apart, so that a day of ten thousand takes minutes. */
+const ROUND_GAP_PER_MACHINE = 100;
+const PLAN_GAP_PER_MACHINE = 300;
 const MOVE_LOOK = 2 * S;
 const MOVE_PERIOD = 15 * S;
 const MAX_ASK = 50;
@@ -603,7 +604,7 @@
   }
 
   private wakeRound(delay: number): void {
-    const gap = Math.max(ROUND_GAP, this.block.machines.size * ROUND_COST_PER_MACHINE);
+    const gap = Math.max(ROUND_GAP, this.block.machines.size * ROUND_GAP_PER_MACHINE);
     const due = Math.max(this.world.now + delay, this.lastRound + gap);
     if (due >= this.roundAt) return;
     this.roundAt = due;
@@ -702,7 +703,8 @@
   private settle(): void {
     const ask = this.asks[0];
     if (ask === undefined || !this.acting || this.cloudAwayUntil > this.world.now) {
-      this.world.after(PLAN_PERIOD, () => this.plan());
+      const gap = Math.max(PLAN_PERIOD, this.block.machines.size * PLAN_GAP_PER_MACHINE);
+      this.world.after(gap, () => this.plan());
       return;
     }
     const wait = this.cloudLimit.waitFor(1);
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -3,8 +3,11 @@
 export { type CloudMachine, CloudService, EVEN_BOOTS, type Room, roomOf, USUAL_BOOTS } from "./cloud-service.js";
 export { Executor, type ExecutorAround, type RunningTask } from "./executor.js";
 export { type FastSetup, FastSite } from "./fast-site.js";
+export { type LocalSetup, LocalSite } from "./local-site.js";
+export { Loopback, PortError, RealTime } from "./loopback.js";
 export { type Host, json, type Net, Network, type Serve } from "./network.js";
 export { Luck, Random } from "./random.js";
+export { sampleJobs, sampleSite } from "./sample.js";
 export { Site, type SiteSetup, type SiteWatch, simulatedAddresses } from "./site.js";
 export {
   type Addresses,
--- /dev/null
+++ b/src/model/local-site.ts
@@ -0,0 +1,246 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { jobKey, readJob } from "../bookkeeping/records.js";
+import type { Options } from "../settings/options.js";
+import { ms } from "../transport/clock.js";
+import { jobBehaviour } from "./behaviour.js";
+import { CloudService, EVEN_BOOTS, roomOf } from "./cloud-service.js";
+import { Loopback, PortError, RealTime } from "./loopback.js";
+import { Luck, Random } from "./random.js";
+import { type Addresses, labelOf, type SiteSpec, settingsText } from "./site-spec.js";
+import { StateService } from "./state-service.js";
+import { type Behaviour, Truth } from "./truth.js";
+import { type Hearing, PLAIN_USERS, type Submission, Users } from "./users.js";
+import type { Witness } from "./witness.js";
+import { type Surroundings, Worker } from "./worker.js";
+import { S } from "./world.js";
+
+export interface LocalSetup {
+  readonly spec: SiteSpec;
+  readonly options: Options;
+  readonly seed: number;
+  /** First of the ports; the controllers' are the first ones. */
+  readonly port: number;
+  /** Emulated tasks run so many times faster than they say. */
+  readonly speed: number;
+  /** Luck of boots as the cloud has it, or every boot within the usual spread. */
+  readonly evenBoots: boolean;
+  /** The program that serves as a controller. */
+  readonly program: string;
+  readonly watch: (timeline: RealTime) => { readonly witness: Witness; readonly hearing: Hearing };
+  readonly onError: (what: string) => void;
+}
+
+const START_PATIENCE = 15_000;
+const READY_POLL = 50;
+const RESTART = 1_000;
+
+const loopback = (port: number): string => `127.0.0.1:${port}`;
+
+/** Controllers listen themselves, so a port in use would only show in their logs. */
+const probe = (port: number): Promise<void> =>
+  new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", (error: NodeJS.ErrnoException) => {
+      reject(
+        new PortError(`${loopback(port)}: ${error.code === "EADDRINUSE" ? "port in use" : (error.code ?? "failed")}`),
+      );
+    });
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve()));
+  });
+
+const pause = (time: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, time));
+
+/**
+ * A site on real sockets of this machine: the controllers as processes of their own, started from the program itself,
+ * and stand-ins of state service, cloud, workers and users in this one.
+ */
+export class LocalSite {
+  readonly truth = new Truth();
+  readonly timeline: RealTime;
+  readonly addresses: Addresses;
+  readonly folder: string;
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly users: Users;
+  private readonly children: (ChildProcess | null)[] = [];
+  private stopped = false;
+  private readonly watch: { readonly witness: Witness; readonly hearing: Hearing };
+
+  private constructor(
+    private readonly setup: LocalSetup,
+    private readonly net: Loopback,
+    addresses: Addresses,
+  ) {
+    const { spec, seed } = setup;
+    this.addresses = addresses;
+    this.timeline = new RealTime();
+    this.watch = setup.watch(this.timeline);
+    this.folder = mkdtempSync(join(tmpdir(), "rainridge-"));
+    const random = new Random(seed);
+    const { rps, writeRps, txnOps, valueKb } = spec.state;
+    this.state = new StateService(this.timeline, random, { rps, writeRps, txnOps, valueBytes: valueKb * 1_024 });
+    net.add({ address: addresses.state, serve: (request, from) => this.state.serve(request, from), state: "up" });
+    this.truth.lookUp = (job) => this.described(job);
+    const around: Surroundings = {
+      timeline: this.timeline,
+      net,
+      random,
+      luck: new Luck(seed),
+      witness: this.watch.witness,
+      truth: this.truth,
+      nodes: addresses.controllers,
+      labels: spec.controllers.map((_, at) => labelOf(at)),
+      times: spec.workers,
+    };
+    this.cloud = new CloudService(
+      this.timeline,
+      random,
+      around.luck,
+      spec,
+      (info, type) => new Worker(around, info, type),
+      this.watch.witness,
+      roomOf(spec.capacity),
+    );
+    if (setup.evenBoots) this.cloud.boots = EVEN_BOOTS;
+    net.add({ address: addresses.cloud, serve: (request) => this.cloud.serve(request), state: "up" });
+    this.users = new Users(this.timeline, net, random, addresses.controllers, this.watch.hearing, PLAIN_USERS);
+  }
+
+  /** Takes the ports and starts everything; resolves when all controllers can take requests. */
+  static async start(setup: LocalSetup): Promise<LocalSite> {
+    const { spec, port } = setup;
+    const count = spec.controllers.length;
+    const numbered = (from: number): string[] => Array.from({ length: count }, (_, at) => loopback(port + from + at));
+    const addresses: Addresses = {
+      controllers: numbered(0),
+      mesh: numbered(count),
+      state: loopback(port + 2 * count),
+      cloud: loopback(port + 2 * count + 1),
+    };
+    for (let at = 0; at < 2 * count; at += 1) await probe(port + at);
+    const machines = spec.capacity.reduce((sum, entry) => sum + entry.count, 0);
+    const net = await Loopback.open([addresses.state, addresses.cloud], machines, (error) =>
+      setup.onError(String(error)),
+    );
+    const site = new LocalSite(setup, net, addresses);
+    try {
+      spec.controllers.forEach((_, at) => {
+        site.startController(at);
+      });
+      await site.ready();
+    } catch (error) {
+      await site.stop();
+      throw error;
+    }
+    return site;
+  }
+
+  private startController(at: number): void {
+    const { spec, options, program } = this.setup;
+    const config = join(this.folder, `${labelOf(at)}.toml`);
+    const operators = join(this.folder, "options.json");
+    writeFileSync(config, settingsText(spec, this.addresses, at));
+    writeFileSync(operators, JSON.stringify(options));
+    const log = openSync(join(this.folder, `${labelOf(at)}.log`), "a");
+    const child = spawn(process.execPath, [program, "serve", "--config", config, "--options", operators], {
+      stdio: ["ignore", "ignore", log],
+    });
+    closeSync(log);
+    this.children[at] = child;
+    child.once("exit", (code) => {
+      if (this.stopped || this.children[at] !== child) return;
+      this.setup.onError(
+        `${labelOf(at)} ended by itself (${code}); its log is ${join(this.folder, `${labelOf(at)}.log`)}`,
+      );
+    });
+  }
+
+  private async ready(): Promise<void> {
+    const http = this.net.client();
+    const until = performance.now() + START_PATIENCE;
+    for (const address of this.addresses.controllers) {
+      for (;;) {
+        const outcome = await http.call(address, { method: "GET", target: "/up", body: "" }, ms(1_000));
+        if (outcome.kind === "answer" && outcome.status === 200) break;
+        if (performance.now() > until) throw new PortError(`${address}: not ready after 15 s; logs in ${this.folder}`);
+        await pause(READY_POLL);
+      }
+    }
+  }
+
+  /** Ends a controller without a word, as a crash does, and starts it again. */
+  crash(at: number, backAfterUs = RESTART * 1_000): void {
+    const child = this.children[at];
+    if (child === undefined || child === null) return;
+    this.children[at] = null;
+    child.kill("SIGKILL");
+    this.timeline.after(backAfterUs, () => {
+      if (!this.stopped) this.startController(at);
+    });
+  }
+
+  submit(job: Submission, behaviour: Partial<Behaviour> = {}): void {
+    this.truth.behaviours.set(job.ref, this.faster({ ...jobBehaviour(job), ...behaviour }));
+    this.users.submit(job);
+  }
+
+  private faster(behaviour: Behaviour): Behaviour {
+    const { speed } = this.setup;
+    const { runUs, runsUs, saveEveryUs, saveTakesUs } = behaviour;
+    return {
+      ...behaviour,
+      runUs: runUs === null ? null : Math.round(runUs / speed),
+      ...(runsUs === undefined ? {} : { runsUs: new Map([...runsUs].map(([at, us]) => [at, Math.round(us / speed)])) }),
+      saveEveryUs: Math.round(saveEveryUs / speed),
+      saveTakesUs: Math.round(saveTakesUs / speed),
+    };
+  }
+
+  /** A job that came in by the command line: the stand-in reads its description where the service keeps it. */
+  private described(job: string): Behaviour | null {
+    const value = this.state.value(jobKey(job));
+    if (value === undefined) return null;
+    const { spec } = readJob(value);
+    return this.faster({
+      cpus: spec.demand.cpu / 1_000,
+      gpus: spec.demand.gpu / 1_000,
+      ramGb: spec.demand.ram / 1_000,
+      bundle: spec.image,
+      sizeGb: spec.imageGb,
+      runUs: spec.shape === "service" ? null : Math.round(spec.estimateS * S),
+      saveEveryUs: Math.round(spec.checkpointS * S),
+      saveTakesUs: Math.round(spec.saveS * S),
+      failsAlways: false,
+      gang: spec.shape === "gang" ? spec.tasks : 0,
+    });
+  }
+
+  /** Ends the controllers, each by its process, and gives the ports back. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    this.timeline.stop();
+    const ends = this.children.map(
+      (child) =>
+        new Promise<void>((resolve) => {
+          if (child === null || child.exitCode !== null || child.signalCode !== null) {
+            resolve();
+            return;
+          }
+          child.once("exit", () => resolve());
+          child.kill("SIGKILL");
+        }),
+    );
+    await Promise.all(ends);
+    await this.net.close();
+  }
+
+  /** For when the process itself ends at once: nothing that it started may stay. */
+  kill(): void {
+    this.stopped = true;
+    for (const child of this.children) child?.kill("SIGKILL");
+  }
+}
--- /dev/null
+++ b/src/model/loopback.ts
@@ -0,0 +1,112 @@
+import { type Micros, seconds, systemClock, type Timer } from "../transport/clock.js";
+import type { HttpClient } from "../transport/http.js";
+import { NetHttpClient, splitAddress } from "../transport/http-client.js";
+import { HttpServer, type ServerLimits } from "../transport/http-server.js";
+import type { Host, Net } from "./network.js";
+import type { Timeline } from "./world.js";
+
+/** The machine's own time, counted from when it was made. */
+export class RealTime implements Timeline {
+  private readonly began = systemClock.now();
+  private stopped = false;
+
+  get now(): number {
+    return systemClock.now() - this.began;
+  }
+
+  at(time: number, run: () => void): Timer {
+    return this.after(time - this.now, run);
+  }
+
+  after(delay: number, run: () => void): Timer {
+    return systemClock.after(Math.max(0, delay) as Micros, () => {
+      if (!this.stopped) run();
+    });
+  }
+
+  /** Nothing that was still to come happens any more. */
+  stop(): void {
+    this.stopped = true;
+  }
+}
+
+const LIMITS: ServerLimits = {
+  maxConnections: 4_096,
+  requestTimeout: seconds(10),
+  idleTimeout: seconds(120),
+  maxBusy: 4_096,
+};
+
+/** Message is one line naming the address. */
+export class PortError extends Error {}
+
+const HOST = "127.0.0.1";
+
+/** Hosts of the model on real sockets of 127.0.0.1, each on a port of its own; all ports are taken at the start. */
+export class Loopback implements Net {
+  private readonly hosts = new Map<string, Host>();
+  private readonly servers: HttpServer[] = [];
+  private readonly free: string[] = [];
+  private readonly http = new NetHttpClient(systemClock, 1_024);
+
+  /** `fixed`: addresses that must be as given; `machines`: how many more there may be at once. */
+  static async open(fixed: readonly string[], machines: number, onError: (error: unknown) => void): Promise<Loopback> {
+    const net = new Loopback();
+    try {
+      for (const address of fixed) await net.listen(splitAddress(address).port, onError);
+      for (let at = 0; at < machines; at += 1) net.free.push(await net.listen(0, onError));
+    } catch (error) {
+      await net.close();
+      throw error;
+    }
+    return net;
+  }
+
+  private async listen(port: number, onError: (error: unknown) => void): Promise<string> {
+    let address = `${HOST}:${port}`;
+    const server = new HttpServer(
+      systemClock,
+      LIMITS,
+      (request) => {
+        const host = this.hosts.get(address);
+        // A machine that is gone is silent.
+        if (host === undefined || host.state !== "up") return new Promise(() => undefined);
+        return host.serve(request, "loopback");
+      },
+      onError,
+    );
+    try {
+      await server.listen(HOST, port);
+    } catch (error) {
+      const code = (error as NodeJS.ErrnoException).code ?? String(error);
+      throw new PortError(`${address}: ${code === "EADDRINUSE" ? "port in use" : code}`);
+    }
+    this.servers.push(server);
+    address = `${HOST}:${server.port}`;
+    return address;
+  }
+
+  address(): string {
+    const address = this.free.shift();
+    if (address === undefined) throw new PortError("no port left for a machine");
+    return address;
+  }
+
+  add(host: Host): void {
+    this.hosts.set(host.address, host);
+  }
+
+  remove(host: Host): void {
+    this.hosts.delete(host.address);
+    // At the end of the queue: what was sent to the machine that is gone must not reach its successor soon.
+    this.free.push(host.address);
+  }
+
+  client(): HttpClient {
+    return this.http;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.servers.map((server) => server.close()));
+  }
+}
--- a/src/model/truth.ts
+++ b/src/model/truth.ts
@@ -25,10 +25,20 @@
 /** What outlives every machine: results, progress saved outside, and who of which gang is where. */
 export class Truth {
   readonly behaviours = new Map<string, Behaviour>();
+  /** Where jobs come from elsewhere, too: asked for what nobody here has submitted. */
+  lookUp: (job: string) => Behaviour | null = () => null;
   readonly gangs = new Map<string, Map<string, Member>>();
   private readonly finished = new Map<string, Set<string>>();
   private readonly saved = new Map<string, number>();
 
+  behaviour(job: string): Behaviour | undefined {
+    const known = this.behaviours.get(job);
+    if (known !== undefined) return known;
+    const found = this.lookUp(job);
+    if (found !== null) this.behaviours.set(job, found);
+    return found ?? undefined;
+  }
+
   isDone(task: string): boolean {
     return this.finished.get(jobOf(task))?.has(task) === true;
   }
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -62,6 +62,12 @@
     });
   }
 
+  /** The port listened on, where any free one was asked for; 0 before. */
+  get port(): number {
+    const address = this.server.address();
+    return address === null || typeof address === "string" ? 0 : address.port;
+  }
+
   /** Stops listening; what is open is cut. */
   close(): Promise<void> {
     for (const socket of this.open) socket.destroy();
--- a/src/whatif/ledger.ts
+++ b/src/whatif/ledger.ts
@@ -259,14 +259,15 @@
     this.refusals += 1;
   }
 
-  /** One look for the plots; thinned out once there are many. */
+  /** How the site stands now. */
+  get latest(): Sample {
+    const queued = Math.max(0, this.queued);
+    return { at: this.now(), machines: this.held.size, running: this.stays.size, queued };
+  }
+
+  /** One look for the plots; thinned out at the end if there are many. */
   sample(): void {
-    this.series.push({
-      at: this.now(),
-      machines: this.held.size,
-      running: this.stays.size,
-      queued: Math.max(0, this.queued),
-    });
+    this.series.push(this.latest);
   }
 
   // Result --------------------------------------------------------------------------------------------------
