--- /dev/null
+++ b/src/bookkeeping/events.ts
@@ -0,0 +1,36 @@
+import type { JobSpec } from "../protocol/user.js";
+import type { Micros } from "../transport/clock.js";
+
+interface MachineFacts {
+  readonly machine: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+/** What the holder of a block sees happen, for whoever keeps it: a trace, or the log. Times by its steady clock. */
+export type SiteEvent =
+  | { readonly kind: "job seen"; readonly spec: JobSpec }
+  | { readonly kind: "job cancelled"; readonly job: string }
+  | { readonly kind: "task done"; readonly job: string; readonly index: number; readonly ran: Micros }
+  | ({ readonly kind: "machine up" | "machine deleted" | "machine failed" | "machine faulty" } & MachineFacts)
+  | ({ readonly kind: "machine notice" | "machine silent"; readonly span: Micros } & MachineFacts)
+  | {
+      readonly kind: "refused";
+      readonly type: string;
+      readonly zone: string;
+      readonly spot: boolean;
+      readonly span: Micros;
+    }
+  /** Over now, and as long as that. */
+  | { readonly kind: "state away" | "cloud away"; readonly span: Micros };
+
+/** Must not throw and must return at once; null where nobody listens, so that nothing is made up for nobody. */
+export type Sink = ((event: SiteEvent) => void) | null;
+
+export const factsOf = (machine: {
+  readonly name: string;
+  readonly typeName: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}): MachineFacts => ({ machine: machine.name, type: machine.typeName, zone: machine.zone, spot: machine.spot });
--- a/src/commands/local.ts
+++ b/src/commands/local.ts
@@ -10,6 +10,7 @@
   readonly seed: number;
   readonly port: number;
   readonly jobs?: string;
+  readonly options?: string;
   readonly stay?: boolean;
   readonly json?: boolean;
 }
@@ -43,12 +44,15 @@
   if (flags.machines < 4 || flags.machines > MOST_MACHINES) {
     throw new CommandError(`--machines ${flags.machines}: must be 4 to ${MOST_MACHINES}`, true);
   }
-  const [model, { Ledger }, { DEFAULT_OPTIONS }, { summaryOf }] = await Promise.all([
+  const [model, { Ledger }, { loadOptions }, { summaryOf }] = await Promise.all([
     import("../model/index.js"),
     import("../whatif/index.js"),
     import("../settings/options.js"),
     import("./whatif.js"),
   ]);
+  const options = await loadOptions(flags.options ?? null).catch((error: unknown) => {
+    throw new CommandError(error instanceof Error ? error.message : String(error), true);
+  });
   const jobs = flags.jobs === undefined ? model.sampleJobs(flags.seed) : await readJobs(flags.jobs);
   const spec = model.sampleSite(flags.machines);
   const books: InstanceType<typeof Ledger>[] = [];
@@ -57,7 +61,7 @@
   };
   const site = await model.LocalSite.start({
     spec,
-    options: DEFAULT_OPTIONS,
+    options,
     seed: flags.seed,
     port: flags.port,
     speed: flags.speed,
@@ -136,6 +140,7 @@
     .option("--seed <n>", "luck of the sample's sizes, boots and fetches", wholeNumber, 1)
     .option("--port <n>", "first of the eight ports for controllers, state service and cloud", wholeNumber, 7_400)
     .option("--jobs <file>", "jobs to submit instead of the sample (JSON list)")
+    .option("--options <file>", "operators' settings (JSON) for the controllers")
     .option("--stay", "go on serving until Ctrl-C, so that submit, show and abort can be tried")
     .option("--json", "the summary as JSON")
     .addHelpText(
--- a/src/commands/whatif.ts
+++ b/src/commands/whatif.ts
@@ -257,6 +257,300 @@
     );
   });
 
+interface CompareFlags {
+  readonly variant: readonly string[];
+  readonly trace?: string;
+  readonly seeds: number;
+  readonly threads?: number;
+  readonly fast?: boolean;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+  readonly html?: string;
+  readonly svg?: string;
+}
+
+/** `name:key=value,key=value`; a name alone is the trace as it stands. */
+const variantSpec = (text: string, flags: CompareFlags): { readonly name: string; readonly spec: ScenarioSpec } => {
+  const at = text.indexOf(":");
+  const name = at < 0 ? text : text.slice(0, at);
+  const set = at < 0 ? [] : text.slice(at + 1).split(",");
+  return { name, spec: { ...specOf(flags.trace ?? "", { ...flags, set }), name } };
+};
+
+const isOutcome = (value: unknown): value is Outcome =>
+  typeof value === "object" && value !== null && "finishing" in value && "totals" in value;
+
+const compareVariants = (files: readonly string[], flags: CompareFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    if (flags.variant.length > 0 && flags.trace === undefined)
+      throw new CommandError("--variant goes with --trace", true);
+    const ready: { name: string; outcomes: Outcome[] }[] = [];
+    const open: { readonly name: string; readonly spec: ScenarioSpec }[] = [];
+    for (const file of files) {
+      const value = whatif.readJsonFile(file);
+      if (isOutcome(value)) ready.push({ name: file, outcomes: [value] });
+      else {
+        const spec = whatif.readScenario(file);
+        open.push({ name: spec.name ?? file, spec });
+      }
+    }
+    open.push(...flags.variant.map((text) => variantSpec(text, flags)));
+    if (ready.length + open.length < 2)
+      throw new CommandError("nothing to compare: two results, scenarios or variants at least", true);
+    if (ready.length > 0 && open.length > 0)
+      throw new CommandError("results and scenarios cannot be mixed: their seeds differ", true);
+    const seeds =
+      ready.length > 0 ? [ready[0]?.outcomes[0]?.seed ?? 1] : Array.from({ length: flags.seeds }, (_, at) => at + 1);
+    const progress = new Progress(flags.progress === true);
+    const outcomes: Outcome[][] = open.map(() => []);
+    const cells = open.flatMap(({ spec }, which) => seeds.map((seed, at) => ({ spec, seed, which, at })));
+    let done = 0;
+    await whatif.replayAll(cells, flags.threads ?? null, (id, outcome) => {
+      const cell = cells[id];
+      const list = cell === undefined ? undefined : outcomes[cell.which];
+      if (cell !== undefined && list !== undefined) list[cell.at] = outcome;
+      done += 1;
+      progress.show(`${done} of ${cells.length} replays`);
+    });
+    progress.end();
+    const variants = [...ready, ...open.map(({ name }, at) => ({ name, outcomes: outcomes[at] ?? [] }))];
+    const comparison = whatif.compare(variants, seeds);
+    if (flags.html !== undefined || flags.svg !== undefined) {
+      const { report } = await whatif.loadReport();
+      const { html, plots } = await report(`What if: ${comparison.variants.join(" or ")}`, comparison, variants);
+      if (flags.html !== undefined) writeFileSync(flags.html, html);
+      if (flags.svg !== undefined) {
+        mkdirSync(flags.svg, { recursive: true });
+        for (const [name, svg] of Object.entries(plots)) writeFileSync(join(flags.svg, `${name}.svg`), svg);
+      }
+    }
+    if (flags.json === true) {
+      say(JSON.stringify(comparison));
+      return;
+    }
+    const { interval } = await whatif.loadReport();
+    const [first, ...others] = comparison.variants;
+    say(
+      table(
+        ["figure", ...comparison.variants, ...others.map((name) => `${name} - ${first}`), ...others.map(() => "")],
+        comparison.rows.map(({ metric, unit, values, differences, verdicts }) => [
+          metric,
+          ...values.map((value) => interval(value, unit)),
+          ...differences.slice(1).map((difference) => interval(difference, unit)),
+          ...verdicts.slice(1).map((verdict) => verdict ?? ""),
+        ]),
+      ),
+    );
+    for (const { name, becomesLate, noLongerLate } of comparison.changes) {
+      for (const [what, jobs] of [
+        ["becomes late", becomesLate],
+        ["no longer late", noLongerLate],
+      ] as const) {
+        say(`\n${name}: ${jobs.length} ${what}`);
+        for (const { job, jobClass, lateByUs } of jobs.slice(0, LATE_SHOWN))
+          say(`  ${job} (${jobClass}), by ${span(lateByUs)}`);
+      }
+    }
+  });
+
+interface SweepFlags {
+  readonly out: string;
+  readonly threads?: number;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+  readonly svg?: string;
+}
+
+const runSweep = (file: string, flags: SweepFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const spec = whatif.readSweep(file);
+    const log = new whatif.ResultLog(flags.out, spec);
+    const progress = new Progress(flags.progress === true);
+    try {
+      await whatif.sweep(spec, log, flags.threads ?? null, (done, all) => progress.show(`${done} of ${all} cells`));
+    } finally {
+      log.close();
+    }
+    progress.end();
+    const rows = whatif.rowsOf(spec, log.results);
+    if (flags.svg !== undefined) {
+      const { paretoPlot } = await whatif.loadPlots();
+      const points = rows.flatMap(({ set, figures, front }) => {
+        const [x, y] = [figures[spec.pareto.x], figures[spec.pareto.y]];
+        return x === null || x === undefined || y === null || y === undefined
+          ? []
+          : [{ x, y, front, label: set.join(" ") }];
+      });
+      writeFileSync(flags.svg, await paretoPlot(points, spec.pareto.x, spec.pareto.y));
+    }
+    if (flags.json === true) {
+      say(JSON.stringify(rows));
+      return;
+    }
+    const names = Object.keys(rows[0]?.figures ?? {});
+    say(
+      table(
+        ["settings", "worth", "front", ...names],
+        rows.map(({ set, worth, front, figures }) => [
+          set.join(" "),
+          worth.toFixed(3),
+          front ? "*" : "",
+          ...names.map((name) => figures[name]?.toFixed(3) ?? "-"),
+        ]),
+      ),
+    );
+  });
+
+interface VerifyFlags {
+  readonly seed: number;
+  readonly port: number;
+  readonly tie?: number;
+  readonly json?: boolean;
+  readonly progress?: boolean;
+}
+
+const verify = (trace: string, flags: VerifyFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const [{ PortError }, { PROGRAM }] = await Promise.all([import("../model/index.js"), import("./local.js")]);
+    const spec = specOf(trace, {});
+    const request = await whatif.prepare(spec, flags.seed);
+    const progress = new Progress(flags.progress === true);
+    const replayed = await whatif.replay(spec, request);
+    const real = await whatif
+      .playOnLoopback({
+        ...request,
+        port: flags.port,
+        program: PROGRAM,
+        onError: (what) => process.stderr.write(`rainridge: ${what}\n`),
+        onSite: (site) => process.once("exit", () => site.kill()),
+        progress: (now, ledger) =>
+          progress.show(`${span(now)} of ${span(replayed.endedUs)} played, ${ledger.openJobs} jobs open`),
+      })
+      .catch((error: unknown) => {
+        if (error instanceof PortError) throw new CommandError(error.message, true);
+        throw error;
+      });
+    progress.end();
+    const tieUs = flags.tie ?? request.site.workers.reportUs;
+    const result = whatif.agreement(real, replayed, tieUs);
+    if (flags.json === true)
+      say(JSON.stringify({ ...result, tieUs, loopback: real.finishing, replay: replayed.finishing }));
+    else {
+      say(
+        `${result.jobs} jobs finished in both; ${result.pairs} pairs, of which ${result.ties} within ${span(tieUs)} of each other (ties)`,
+      );
+      say(`finishing times differ by ${span(result.medianGapUs)} in the middle, ${span(result.mostGapUs)} at most`);
+      for (const id of result.onlyInOne) say(`  ${id} finished in one of the two only`);
+      for (const { first, second, behindUs, aheadUs } of result.disorders) {
+        say(`  ${first} before ${second} by ${span(behindUs)} on loopback, after it by ${span(aheadUs)} in the replay`);
+      }
+      say(result.agrees ? "the finishing order is the same" : "the finishing orders differ");
+    }
+    if (!result.agrees) throw new CommandError(`${trace}: finishing orders differ`);
+    process.exit(0);
+  });
+
+interface ConvertFlags {
+  readonly out: string;
+  readonly config?: string;
+  readonly json?: boolean;
+}
+
+const settingsFrom = async (file: string) => {
+  const { load } = await import("./serving.js");
+  return (await load({ config: file })).settings;
+};
+
+const said = (
+  out: string,
+  events: readonly { readonly event: string }[],
+  remarks: readonly Remark[],
+  json: boolean,
+): void => {
+  const jobs = events.filter(({ event }) => event === "submit").length;
+  if (json) say(JSON.stringify({ out, jobs, events: events.length, remarks }));
+  else {
+    say(`${out}: ${jobs} jobs, ${events.length} events`);
+    for (const remark of remarks) say(remarkLine(remark));
+  }
+};
+
+const convertFiles = (files: readonly string[], flags: ConvertFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    let site: { readonly header: ReturnType<Whatif["headerOf"]> } | null = null;
+    if (flags.config !== undefined) {
+      const settings = await settingsFrom(flags.config);
+      const types = await catalogue(settings.cloudAddress);
+      site = { header: whatif.headerOf(whatif.siteOf(settings, types), "converted", null) };
+    }
+    const { header, events, remarks } = await whatif.convert(files, site);
+    await whatif.writeTrace(flags.out, header, events);
+    said(flags.out, events, remarks, flags.json === true);
+  });
+
+const quietLog = { error: () => undefined, info: () => undefined, debug: () => undefined };
+
+/** The machine types, asked of the site's cloud. */
+const catalogue = async (address: string) => {
+  const [{ NetHttpClient }, { Cloud }, { systemClock }] = await Promise.all([
+    import("../transport/http-client.js"),
+    import("../coordination/cloud.js"),
+    import("../transport/clock.js"),
+  ]);
+  const reply = await new Cloud(new NetHttpClient(systemClock, 1), address, systemClock, quietLog, 1).types();
+  if (reply.kind !== "ok") throw new CommandError(`${address}: the cloud does not tell its machine types`);
+  return reply.value.types;
+};
+
+interface RecordFlags {
+  readonly config: string;
+  readonly out: string;
+  readonly for?: number;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+}
+
+const record = (flags: RecordFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const [{ NetHttpClient }, { systemClock }] = await Promise.all([
+      import("../transport/http-client.js"),
+      import("../transport/clock.js"),
+    ]);
+    const settings = await settingsFrom(flags.config);
+    const began = systemClock.now();
+    const iso = new Date().toISOString();
+    const events: import("../whatif/index.js").TraceEvent[] = [];
+    const progress = new Progress(flags.progress === true);
+    const observer = new whatif.SiteObserver(
+      new NetHttpClient(systemClock, 4),
+      systemClock,
+      quietLog,
+      settings,
+      Math.random,
+      (event) => {
+        events.push(whatif.traceEventOf(event, systemClock.now() - began));
+        progress.show(`${events.length} events`);
+      },
+    );
+    const stopped = new Promise<void>((resolve) => {
+      process.once("SIGINT", () => resolve());
+      process.once("SIGTERM", () => resolve());
+      if (flags.for !== undefined) setTimeout(resolve, flags.for / 1_000);
+    });
+    await Promise.race([observer.start(), stopped]);
+    if (observer.types.length === 0)
+      throw new CommandError(`${settings.cloudAddress}: the cloud does not tell its machine types`);
+    await stopped;
+    observer.stop();
+    progress.end();
+    const remarks: Remark[] = [];
+    const mended = whatif.mend(events, (what) => remarks.push({ line: 0, what }));
+    const header = whatif.headerOf(whatif.siteOf(settings, observer.types), "recorded", iso);
+    await whatif.writeTrace(flags.out, header, mended.events);
+    said(flags.out, mended.events, remarks, flags.json === true);
+    process.exit(0);
+  });
+
 /** What if: replaying traces against changed policies. */
 export const addWhatif = (program: Command): void => {
   const group = program
@@ -294,6 +588,74 @@
   rainridge whatif run reindex.jsonl.gz --add export.jsonl.gz --at 2h --out result`,
     )
     .action(run);
+  group
+    .command("compare [files...]")
+    .description(
+      "compare scenarios over several seeds, or results of run --out; the first is what the others are held against",
+    )
+    .option("--trace <file>", "trace for --variant")
+    .option(
+      "--variant <name:settings>",
+      "a variant of the trace: baseline, or low:kappa=0.2,headroom=2 (repeatable)",
+      collect,
+      [],
+    )
+    .option("--seeds <n>", "replays of each", wholeNumber, 5)
+    .option("--threads <n>", "replays at the same time", wholeNumber)
+    .option("--fast", "the fast model, for --variant")
+    .option("--progress", "tell how far it has come")
+    .option("--json", "answer as JSON")
+    .option("--html <file>", "write a report with plots, which opens from disk")
+    .option("--svg <dir>", "write the plots apart")
+    .addHelpText(
+      "after",
+      `
+Examples:
+  rainridge whatif compare before/outcome.json after/outcome.json
+  rainridge whatif compare --trace night.jsonl.gz --variant now --variant tight:teams.search.cpusMax=64 --seeds 20 --fast --html report.html`,
+    )
+    .action(compareVariants);
+  group
+    .command("sweep <spec>")
+    .description("search settings by grid or at random against aims; goes on where it was after a kill")
+    .requiredOption("--out <file>", "results (JSON Lines), added to as they come")
+    .option("--threads <n>", "replays at the same time", wholeNumber)
+    .option("--progress", "tell how far it has come")
+    .option("--svg <file>", "write the Pareto plot")
+    .option("--json", "answer as JSON")
+    .addHelpText(
+      "after",
+      "\nExample:\n  rainridge whatif sweep examples/traces/sweep.json --out results.jsonl --svg pareto.svg",
+    )
+    .action(runSweep);
+  group
+    .command("verify <trace>")
+    .description("play a trace on real sockets and in replay, in real time, and compare the order in which jobs finish")
+    .option("--seed <n>", "luck of both", wholeNumber, 1)
+    .option("--port <n>", "first of the eight ports", wholeNumber, 7_440)
+    .option("--tie <time>", "jobs closer than this in either run are ties; one reporting period by default", duration)
+    .option("--progress", "tell how far it has come")
+    .option("--json", "answer as JSON")
+    .addHelpText("after", "\nExample:\n  rainridge whatif verify examples/traces/short.jsonl --progress")
+    .action(verify);
+  group
+    .command("record")
+    .description("record a trace of a running site from outside, through its state service and cloud, until Ctrl-C")
+    .requiredOption("--config <file>", "settings of one of its controllers (TOML)")
+    .requiredOption("--out <file>", "trace to write (.gz: compressed)")
+    .option("--for <time>", "end after this time, such as 2h", duration)
+    .option("--progress", "tell how many events there are")
+    .option("--json", "answer as JSON")
+    .addHelpText("after", "\nExample:\n  rainridge whatif record --config settings.toml --out night.jsonl.gz --for 8h")
+    .action(record);
+  group
+    .command("convert <files...>")
+    .description("put recorded traces, or logs at LOG_LEVEL=debug, of several controllers together into one trace")
+    .requiredOption("--out <file>", "trace to write (.gz: compressed)")
+    .option("--config <file>", "settings of a controller, where there are only logs")
+    .option("--json", "answer as JSON")
+    .addHelpText("after", "\nExample:\n  rainridge whatif convert traces/trace-*.jsonl --out night.jsonl.gz")
+    .action(convertFiles);
   group
     .command("check <trace>")
     .description("check a trace: the first fault is named by line and field")
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,5 +1,6 @@
 import type { Block } from "../bookkeeping/block.js";
 import type { Committer } from "../bookkeeping/committer.js";
+import type { Sink } from "../bookkeeping/events.js";
 import type { Machine } from "../bookkeeping/picture.js";
 import type { Store } from "../bookkeeping/store.js";
 import type { View } from "../bookkeeping/view.js";
@@ -22,6 +23,7 @@
   readonly view: View;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  readonly sink: Sink;
 }
 
 /** A leased block of machines. `number` is fresh at every handover. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,4 +1,5 @@
 import { Committer } from "../bookkeeping/committer.js";
+import type { Sink } from "../bookkeeping/events.js";
 import { CURRENT, homeBlock, TYPES_KEY } from "../bookkeeping/records.js";
 import { Store } from "../bookkeeping/store.js";
 import { FOLLOW_SHARE, gapFor, SYNC_SHARE, View } from "../bookkeeping/view.js";
@@ -24,6 +25,8 @@
   readonly log: Log;
   readonly http: HttpClient;
   readonly random: () => number;
+  /** Told what happens on the site, where this controller holds it. */
+  readonly sink?: Sink;
 }
 
 /** One controller: what `main` and the simulated clusters of the tests both start. */
@@ -59,7 +62,7 @@
       gapFor(SYNC_SHARE, rps, settings.controllers),
     );
     const committer = new Committer(store, clock, random);
-    this.services = { clock, log, settings, options, http, store, committer, view, random };
+    this.services = { clock, log, settings, options, http, store, committer, view, random, sink: outside.sink ?? null };
     this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
     this.membership = new Membership(this.services, incarnation, {
       taken: (lease) => this.take(lease),
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -1,3 +1,4 @@
+import { factsOf } from "../bookkeeping/events.js";
 import type { Machine, Task } from "../bookkeeping/picture.js";
 import { attemptOf } from "../bookkeeping/tasks.js";
 import type { Whole } from "../protocol/json.js";
@@ -16,7 +17,10 @@
 /** Failing on so many machines, the job is the likelier culprit. */
 const BAD_JOB_MACHINES = 3;
 
-export type ObserverContext = Pick<BlockContext, "block" | "clock" | "lease" | "log" | "wakeRound" | "wakeCommands">;
+export type ObserverContext = Pick<
+  BlockContext,
+  "block" | "clock" | "lease" | "log" | "wakeRound" | "wakeCommands" | "sink"
+>;
 
 /** Takes in what workers say and concludes from it which tasks are where, or surely nowhere. */
 export class Observer {
@@ -45,12 +49,14 @@
       machine.state = "up";
       machine.idleSince = clock.now();
       this.context.log.info("machine up", { machine: machine.name, zone: machine.zone, spot: machine.spot });
+      this.context.sink?.({ kind: "machine up", ...factsOf(machine) });
       this.context.wakeRound();
     }
     if (report.noticeS === null) machine.noticeUntil = null;
     else if (machine.noticeUntil === null) {
       machine.noticeUntil = (clock.now() + seconds(report.noticeS)) as Micros;
       this.context.log.info("machine notice", { machine: machine.name, leftS: report.noticeS });
+      this.context.sink?.({ kind: "machine notice", span: seconds(report.noticeS), ...factsOf(machine) });
       this.context.wakeRound();
     }
     if (report.token < firstToken(lease)) return "untrusted";
@@ -143,6 +149,8 @@
     const now = clock.now();
     if (reason === "done") {
       block.remember(machine, task);
+      const ran = (task.runningSince === null ? 0 : now - task.runningSince) as Micros;
+      this.context.sink?.({ kind: "task done", job: job.spec.id, index: task.index, ran });
       task.want = { kind: "done" };
       block.vacate(task);
       job.done += 1;
@@ -187,6 +195,7 @@
     if (faulty && machine.drain === null) {
       machine.drain = "faulty";
       this.context.log.info("machine faulty", { machine: machine.name, jobs: [...machine.failures.keys()] });
+      this.context.sink?.({ kind: "machine faulty", ...factsOf(machine) });
     }
   }
 }
--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -1,3 +1,4 @@
+import { factsOf } from "../bookkeeping/events.js";
 import { newMachine } from "../bookkeeping/machines.js";
 import type { Machine } from "../bookkeeping/picture.js";
 import type { ListedMachine } from "../protocol/cloud.js";
@@ -7,7 +8,7 @@
 import { type BlockContext, backOff } from "./context.js";
 import { decideEmptying } from "./decisions/emptying.js";
 import type { Picture } from "./decisions/picture.js";
-import { decideRental, History, type Market, type Option, Refusals, type Rent } from "./decisions/rental.js";
+import { decideRental, History, type Market, type Option, optionKey, Refusals, type Rent } from "./decisions/rental.js";
 import type { Observer } from "./observer.js";
 import type { Rounds } from "./rounds.js";
 
@@ -38,6 +39,7 @@
   private readonly doomed: Machine[] = [];
   private removing = false;
   private stopped = false;
+  private cloudAwaySince: Micros | null = null;
   private listed = false;
   private consolidateAfter: Micros = NEVER;
 
@@ -118,6 +120,7 @@
     if (listed.state === "running" && machine.state === "booting") this.context.inquire(machine);
     if (listed.state === "failed" && !machine.deleting) {
       log.info("machine failed", { machine: machine.name });
+      this.context.sink?.({ kind: "machine failed", ...factsOf(machine) });
       this.observer.lost(machine, "failed");
       void this.remove([machine]);
     }
@@ -151,6 +154,7 @@
     for (const machine of machines) {
       machine.state = "gone";
       block.deleted.add(machine.name);
+      this.context.sink?.({ kind: "machine deleted", ...factsOf(machine) });
       this.observer.lost(machine, "deleted");
       block.machines.delete(machine.name);
     }
@@ -196,7 +200,15 @@
       if (!lease.valid() || this.stopped) return;
       const { type, zone, spot } = ask.option;
       const reply = await this.cloud.rent(ask.name, type.name, zone, spot, ask.count);
-      if (reply.kind === "failed") return;
+      if (reply.kind === "failed") {
+        this.cloudAwaySince ??= this.context.clock.now();
+        return;
+      }
+      if (this.cloudAwaySince !== null) {
+        const span = (this.context.clock.now() - this.cloudAwaySince) as Micros;
+        this.cloudAwaySince = null;
+        this.context.sink?.({ kind: "cloud away", span });
+      }
       this.asks.splice(this.asks.indexOf(ask), 1);
       this.rented(ask, reply.kind === "ok" ? reply.value : []);
     }
@@ -214,6 +226,9 @@
       block.machines.set(name, machine);
     }
     this.refusals.granted(ask.option, ask.count, names.length, clock.now());
+    if (names.length >= ask.count) return;
+    const span = (this.refusals.until(optionKey(ask.option)) - clock.now()) as Micros;
+    this.context.sink?.({ kind: "refused", type: type.name, zone, spot, span });
   }
 
   private consolidate(picture: Picture): void {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,4 +1,5 @@
 import { Block } from "../bookkeeping/block.js";
+import { factsOf } from "../bookkeeping/events.js";
 import { newMachine } from "../bookkeeping/machines.js";
 import type { Machine } from "../bookkeeping/picture.js";
 import { CURRENT, jobOfKey, rangeOfKey, readJob, TYPES_KEY } from "../bookkeeping/records.js";
@@ -60,6 +61,7 @@
   private settledFrom: Micros;
   private readonly takenAt: Micros;
   private wasValid = true;
+  private invalidSince: Micros = 0 as Micros;
   private typesAt: Micros = 0 as Micros;
   private lastTick: Micros = 0 as Micros;
   private summedAt: Micros;
@@ -193,6 +195,7 @@
     if (known === undefined) {
       block.addJob(record.spec, change.version, record.cancelled);
       this.rental.learn(record.spec);
+      this.context.sink?.({ kind: "job seen", spec: record.spec });
       this.wakeRound(0 as Micros);
       return;
     }
@@ -200,6 +203,7 @@
     if (!record.cancelled || known.cancelled) return;
     known.cancelled = true;
     this.services.log.info("job cancelled", { job: id });
+    this.context.sink?.({ kind: "job cancelled", job: id });
     for (const task of [...known.placed]) {
       const machine = task.on;
       if (task.launch.kind === "none") this.observer.gone(task);
@@ -279,6 +283,8 @@
       const valid = this.lease.valid();
       if (valid && !this.wasValid) this.settledFrom = (clock.now() + SETTLE) as Micros;
       if (valid !== this.wasValid) log.info(valid ? "lease regained" : "lease run out", { block: this.lease.block });
+      if (valid && !this.wasValid) this.context.sink?.({ kind: "state away", span: this.since(this.invalidSince) });
+      if (!valid && this.wasValid) this.invalidSince = clock.now();
       this.wasValid = valid;
       // After a standstill of our own everybody seems silent until what has arrived meanwhile is read.
       const pause = clock.now() - this.lastTick;
@@ -359,9 +365,16 @@
     const lost = dead.filter((machine) => machine.replicas === 0 || !zones.has(machine.zone));
     if (lost.length === 0) return;
     log.info("machines silent", { machines: lost.map((machine) => machine.name), cut: [...zones] });
+    for (const machine of lost) {
+      this.context.sink?.({ kind: "machine silent", span: settings.workers.lease, ...factsOf(machine) });
+    }
     void this.guard(this.rental.remove(lost));
   }
 
+  private since(time: Micros): Micros {
+    return (this.services.clock.now() - time) as Micros;
+  }
+
   /** In which so many machines ought to have been heard several times. */
   private quietTime(machines: number, limit: number): number {
     return Math.min(limit, Math.max(CUT_LEAST, (CUT_REPORTS * this.services.settings.workers.report) / machines));
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -293,6 +293,7 @@
         log,
         wakeRound: () => this.wakeRound(ROUND_GAP),
         wakeCommands: (machine) => this.command(machine),
+        sink: null,
       },
       { note: (range) => this.note(range), finish: (job) => this.finish(job) },
     );
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -122,6 +122,33 @@
   };
 };
 
+const wireOf = <T extends string>(table: Readonly<Record<string, T>>, value: T): string =>
+  Object.keys(table).find((name) => table[name] === value) ?? value;
+
+/** The job as its user would have sent it; reading it gives the same specification again. */
+export const submissionOf = (spec: JobSpec): Fields => ({
+  ref: spec.id,
+  jobclass: spec.jobClass,
+  owner: spec.team,
+  shape: wireOf(WIRE_SHAPE, spec.shape),
+  rank: wireOf(WIRE_PRIORITY, spec.priority),
+  shards: spec.tasks,
+  cpus: spec.demand.cpu / 1_000,
+  accelerators: spec.demand.gpu / 1_000,
+  ramGb: spec.demand.ram / 1_000,
+  bundle: spec.image,
+  sizeGb: spec.imageGb,
+  flavors: spec.types,
+  area: spec.zone,
+  together: spec.oneZone,
+  spread: spec.spread,
+  loaner: spec.spot,
+  guessS: spec.estimateS,
+  saveEveryS: spec.checkpointS,
+  saveTakesS: spec.saveS,
+  dueS: spec.deadlineS,
+});
+
 export const phaseAnswer = (id: string, phase: JobPhase): Fields => ({ ref: id, phase: WIRE_PHASE[phase] });
 
 export const statusAnswer = (id: string, phase: JobPhase, done: number, running: number): Fields => ({
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -13,6 +13,15 @@
   readonly idleReturnS: number;
   /** Missed reports after which a machine is probed and then given up. */
   readonly silentReports: number;
+  /** Where to keep a trace of what happens, for what-if; null: nowhere. */
+  readonly record: RecordOptions | null;
+}
+
+/** The newest `files` files of at most `fileMb` MB each stay in the folder. */
+export interface RecordOptions {
+  readonly folder: string;
+  readonly fileMb: number;
+  readonly files: number;
 }
 
 export const DEFAULT_OPTIONS: Options = {
@@ -21,6 +30,7 @@
   headroom: 1,
   idleReturnS: 15,
   silentReports: 1.5,
+  record: null,
 };
 
 export const optionsSchema = {
@@ -34,6 +44,21 @@
     headroom: { type: "number", minimum: 0, maximum: 20 },
     idleReturnS: { type: "number", minimum: 0, maximum: 3_600 },
     silentReports: { type: "number", minimum: 1.3, maximum: 100 },
+    record: {
+      anyOf: [
+        { type: "null" },
+        {
+          type: "object",
+          additionalProperties: false,
+          required: ["folder", "fileMb", "files"],
+          properties: {
+            folder: { type: "string", minLength: 1 },
+            fileMb: { type: "number", minimum: 0.01, maximum: 10_000 },
+            files: { type: "integer", minimum: 1, maximum: 1_000 },
+          },
+        },
+      ],
+    },
   },
 } as const;
 
--- a/src/whatif/ledger.ts
+++ b/src/whatif/ledger.ts
@@ -8,7 +8,7 @@
   type Submission,
   type Witness,
 } from "../model/index.js";
-import type { DelayCause, JobOutcome, JobPhase, Outcome, Sample, Waits } from "./outcome.js";
+import type { AimOutcome, DelayCause, JobOutcome, JobPhase, Outcome, Sample, Waits } from "./outcome.js";
 
 const SECOND = 1_000_000;
 const HOUR = 3_600 * SECOND;
@@ -63,6 +63,8 @@
   private readonly held = new Map<string, { readonly since: number; readonly host: HostInfo }>();
   /** Waits for a first start by class, in milliseconds. A t-digest would shuffle, and two runs would differ. */
   private readonly waited = new Map<string, Histogram>();
+  /** First starts in time for each aim of the site. */
+  private readonly inTime: number[] = [];
   private readonly byCause = emptyCauses();
   private readonly series: Sample[] = [];
   private readonly finishing: string[] = [];
@@ -172,6 +174,10 @@
     const since = again ?? account.submitUs;
     this.byCause[this.cause(now, since, again !== undefined, machine, fetchUs)] += 1;
     if (again !== undefined) return;
+    this.site.objectives.forEach((aim, at) => {
+      if (aim.kind !== "wait" || aim.class !== account.job.jobclass || aim.withinUs === null) return;
+      if (now - account.submitUs <= aim.withinUs) this.inTime[at] = (this.inTime[at] ?? 0) + 1;
+    });
     const histogram = this.waited.get(account.job.jobclass) ?? newHistogram();
     histogram.recordValue(Math.min(LONGEST_MS, Math.max(1, Math.ceil((now - account.submitUs) / 1_000))));
     this.waited.set(account.job.jobclass, histogram);
@@ -315,6 +321,15 @@
     return out;
   }
 
+  private aims(): AimOutcome[] {
+    return this.site.objectives.flatMap((aim, at) => {
+      if (aim.kind !== "wait" || aim.class === null || aim.withinUs === null) return [];
+      const starts = this.waited.get(aim.class)?.totalCount ?? 0;
+      const reached = starts === 0 ? null : rounded((this.inTime[at] ?? 0) / starts);
+      return [{ jobClass: aim.class, withinUs: aim.withinUs, wanted: aim.share, reached }];
+    });
+  }
+
   /** Closes the books; nothing is to be told afterwards. */
   outcome(run: Pick<Outcome, "mode" | "trace" | "seed" | "ended" | "unmatched" | "remarks">): Outcome {
     for (const [task, stay] of this.stays) {
@@ -352,6 +367,7 @@
       },
       byCause: { ...this.byCause },
       waits: this.waits(),
+      aims: this.aims(),
       jobs,
       finishing: [...this.finishing],
       series: this.series.filter((_, at) => at % step === 0),
--- a/src/whatif/outcome.ts
+++ b/src/whatif/outcome.ts
@@ -38,6 +38,15 @@
   readonly mostUs: number;
 }
 
+/** What the site expects of first starts, and what came of it. */
+export interface AimOutcome {
+  readonly jobClass: string;
+  readonly withinUs: number;
+  readonly wanted: number;
+  /** Share of the class's first starts within the time; null where there were none. */
+  readonly reached: number | null;
+}
+
 /** A look at the site every so often, for plots. */
 export interface Sample {
   readonly at: number;
@@ -76,6 +85,7 @@
   };
   readonly byCause: Readonly<Record<DelayCause, number>>;
   readonly waits: Readonly<Record<string, Waits>>;
+  readonly aims: readonly AimOutcome[];
   readonly jobs: readonly JobOutcome[];
   /** Batch jobs in the order in which they finished. */
   readonly finishing: readonly string[];
