--- a/src/main.ts
+++ b/src/main.ts
@@ -33,6 +33,13 @@
   return known && error.misuse ? MISUSE : REFUSED;
 };
 
+// Else the root command, which serves, would complain of too many arguments.
+const [first] = process.argv.slice(2);
+if (first !== undefined && !first.startsWith("-") && !program.commands.some((command) => command.name() === first)) {
+  process.stderr.write(`rainridge: unknown command ${first}; see rainridge --help\n`);
+  process.exit(MISUSE);
+}
+
 program.parseAsync().catch((error: unknown) => {
   process.exit(ended(error));
 });
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -31,6 +31,8 @@
   readonly spec: SiteSpec;
   readonly options: Options;
   readonly seed: number;
+  /** Of what goes by turn (delays, drift, who asks whom); the seed itself by default. Luck by name keeps to `seed`. */
+  readonly turnSeed?: number;
   readonly watch: (world: World) => SiteWatch;
   /** Settings of the controllers where they are to differ from the site's truth. */
   readonly settings?: (index: number, addresses: Addresses) => Settings;
@@ -68,7 +70,7 @@
   constructor(private readonly setup: SiteSetup) {
     const { spec, seed } = setup;
     this.watch = setup.watch(this.world);
-    this.random = new Random(seed);
+    this.random = new Random(setup.turnSeed ?? seed);
     const count = spec.controllers.length;
     this.addresses = simulatedAddresses(count);
     const settings = setup.settings ?? ((index: number, addresses: Addresses) => settingsOf(spec, addresses, index));
--- a/src/whatif/conduct.ts
+++ b/src/whatif/conduct.ts
@@ -18,6 +18,8 @@
   readonly site: SiteSpec;
   readonly options: Options;
   readonly seed: number;
+  /** Other delays on the network with the same boots, fetches and speeds: as much as a real run may differ. */
+  readonly turnSeed?: number;
   /** Microseconds after the trace's beginning; null: until nothing is left to do. */
   readonly untilUs: number | null;
   /** Told now and then how far it has come. */
--- a/src/whatif/faithful.ts
+++ b/src/whatif/faithful.ts
@@ -17,6 +17,7 @@
     spec,
     options,
     seed,
+    ...(request.turnSeed === undefined ? {} : { turnSeed: request.turnSeed }),
     watch: (world) => {
       const now = (): number => world.now;
       const ledger = new Ledger(now, spec);
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,12 +1,14 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
 import { mkdtempSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { settingsText } from "./fixtures.js";
 
+const EXAMPLE = fileURLToPath(new URL("../../../examples/traces/night.jsonl.gz", import.meta.url));
 const MAIN = fileURLToPath(new URL("../../main.js", import.meta.url));
 
 test("the settings can be checked without serving, and a bad one gives one line", () => {
@@ -20,3 +22,52 @@
   assert.equal(bad.status, 2);
   assert.match(bad.stderr, /^rainridge: area: [^\n]*\n$/);
 });
+
+const call = (...args: string[]): { status: number | null; stdout: string; stderr: string } =>
+  spawnSync(process.execPath, [MAIN, ...args], { encoding: "utf8", maxBuffer: 64 * 1024 * 1024 });
+
+test("the example that ships is replayed as the README says", () => {
+  const run = call("whatif", "run", EXAMPLE, "--fast", "--json");
+  assert.equal(run.status, 0, run.stderr);
+  const outcome = JSON.parse(run.stdout) as {
+    ended: string;
+    totals: { jobs: number; done: number };
+    unmatched: unknown[];
+  };
+  assert.deepEqual([outcome.ended, outcome.totals.jobs, outcome.unmatched], ["finished", 99, []]);
+});
+
+test("misuse is one line and status 2, and every command tells how it is used", () => {
+  for (const [args, message] of [
+    [["whatif", "run", "/no/such/trace"], /^rainridge: \/no\/such\/trace: ENOENT\n$/],
+    [["whatif", "run", EXAMPLE, "--set", "kappa=9"], /^rainridge: --set kappa: kappa: must be <= 1\n$/],
+    [
+      ["whatif", "run", EXAMPLE, "--until", "soon"],
+      /^rainridge: option '--until <time>' argument 'soon' is invalid\. not a time/,
+    ],
+    [["whatif", "compare", EXAMPLE], /^rainridge: [^\n]*not JSON\n$/],
+    [["dance"], /^rainridge: unknown command dance[^\n]*\n$/],
+    [["local", "--machines", "1"], /^rainridge: --machines 1: must be 4 to 400\n$/],
+  ] as const) {
+    const { status, stderr } = call(...args);
+    assert.deepEqual([status, message.test(stderr)], [2, true], `${args.join(" ")}: ${stderr}`);
+  }
+  const names = ["serve", "check", "submit", "show", "abort", "local"].map((name) => [name]);
+  for (const name of ["run", "compare", "sweep", "verify", "record", "convert", "check", "synth"])
+    names.push(["whatif", name]);
+  for (const name of names.slice(0, 7)) {
+    const { status, stdout } = call(...name, "--help");
+    assert.equal(status, 0);
+    assert.match(stdout, /Examples?:\n {2}rainridge /, name.join(" "));
+  }
+});
+
+test("a port in use ends the local site with one line", async () => {
+  const server = createServer();
+  const port = await new Promise<number>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve((server.address() as { port: number }).port));
+  });
+  const { status, stderr } = call("local", "--port", String(port));
+  assert.deepEqual([status, stderr], [2, `rainridge: 127.0.0.1:${port}: port in use; another --port\n`]);
+  await new Promise((resolve) => server.close(resolve));
+});
