--- a/src/commands/whatif.ts
+++ b/src/commands/whatif.ts
@@ -660,6 +660,18 @@
     .option("--json", "answer as JSON")
     .addHelpText("after", "\nExample:\n  rainridge whatif convert traces/trace-*.jsonl --out night.jsonl.gz")
     .action(convertFiles);
+  group
+    .command("schema <of>")
+    .description("print a JSON Schema: of trace, site, scenario, sweep or synth files")
+    .addHelpText("after", "\nExample:\n  rainridge whatif schema trace")
+    .action((of: string) =>
+      withWhatif(async (whatif) => {
+        const schema = whatif.schemaOf(of);
+        if (schema === null)
+          throw new CommandError(`${of}: no such schema; trace, site, scenario, sweep or synth`, true);
+        say(JSON.stringify(schema, null, 2));
+      }),
+    );
   group
     .command("check <trace>")
     .description("check a trace: the first fault is named by line and field")
--- a/src/whatif/index.ts
+++ b/src/whatif/index.ts
@@ -23,4 +23,5 @@
 export { convert } from "./convert.js";
 export { FileRecorder, type RecorderFiles } from "./file-recorder.js";
 export { SiteObserver } from "./observe.js";
+export { schemaOf } from "./schemas.js";
 export { headerOf, siteOf, traceEventOf } from "./translate.js";
