--- a/test/replay.test.ts
+++ b/test/replay.test.ts
@@ -25,6 +25,7 @@
 } from "../src/whatif/index.js";
 import { Random } from "./random.js";
 import { BrokenRule, Checker } from "./sim/checker.js";
+import { trueJob } from "./sim/cluster.js";
 import { requestFor, smallDay, smallSite, submitted } from "./whatif-fixtures.js";
 
 type Model = "faithful" | "fast";
@@ -39,19 +40,7 @@
     checker = rules;
     for (const event of request.events) {
       if (event.event !== "submit") continue;
-      const { job } = event;
-      rules.jobs.set(job.ref, {
-        id: job.ref,
-        team: job.owner,
-        service: job.shape === "daemon",
-        tasks: job.shards,
-        cpus: job.cpus,
-        types: job.flavors,
-        zone: job.area,
-        together: job.together,
-        spread: job.spread,
-        spot: job.loaner,
-      });
+      rules.jobs.set(event.job.ref, trueJob(event.job));
     }
     const told = request.witness?.(now) ?? nobody;
     return {
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -15,7 +15,7 @@
 import type { Micros } from "../../src/transport/clock.js";
 import type { Request } from "../../src/transport/http.js";
 import { settingsText } from "../fixtures.js";
-import { BrokenRule, Checker } from "./checker.js";
+import { BrokenRule, Checker, type TrueJob } from "./checker.js";
 
 export type { Submission } from "../../src/model/index.js";
 
@@ -74,6 +74,20 @@
 const settingsAt = (index: number, alter: (text: string) => string): string =>
   alter(settingsText(index)).replace("10.2.0.2:8443", "10.0.1.2:8443").replace("10.2.0.1:2379", "10.0.1.1:2379");
 
+/** What the checker is to know of a job. */
+export const trueJob = (job: Submission): TrueJob => ({
+  id: job.ref,
+  team: job.owner,
+  service: job.shape === "daemon",
+  tasks: job.shards,
+  cpus: job.cpus,
+  types: job.flavors,
+  zone: job.area,
+  together: job.together,
+  spread: job.spread,
+  spot: job.loaner,
+});
+
 /** A site of the emulator with the checker of the rules beside it, and what tests need to steer it. */
 export class Cluster {
   readonly site: Site;
@@ -184,18 +198,7 @@
   }
 
   submit(job: Submission, behaviour: Partial<Behaviour> = {}): void {
-    this.checker.jobs.set(job.ref, {
-      id: job.ref,
-      team: job.owner,
-      service: job.shape === "daemon",
-      tasks: job.shards,
-      cpus: job.cpus,
-      types: job.flavors,
-      zone: job.area,
-      together: job.together,
-      spread: job.spread,
-      spot: job.loaner,
-    });
+    this.checker.jobs.set(job.ref, trueJob(job));
     this.site.submit(job, { runUs: job.shape === "daemon" ? null : 15 * S, ...behaviour });
   }
 
