--- a/src/whatif/ledger.ts
+++ b/src/whatif/ledger.ts
@@ -88,10 +88,14 @@
   /** When anything last moved: a task started or ended, a machine came. */
   lastMove = 0;
 
+  /** Whole microseconds, whatever a simulated clock counts in. */
+  private readonly now: () => number;
+
   constructor(
-    private readonly now: () => number,
+    now: () => number,
     private readonly site: SiteSpec,
   ) {
+    this.now = () => Math.round(now());
     this.cpus = new Map(site.types.map(({ name, cpus }) => [name, cpus]));
     this.prices = new Map(site.types.map(({ name, price, spotPrice }) => [name, { ordinary: price, spot: spotPrice }]));
   }
--- a/src/whatif/player.ts
+++ b/src/whatif/player.ts
@@ -162,6 +162,6 @@
       case "machine_up":
     }
     const { name: machine, type, zone, spot } = host;
-    this.onPlayed({ ...event, at: stage.now, machine, type, zone, spot }, host);
+    this.onPlayed({ ...event, at: Math.round(stage.now), machine, type, zone, spot }, host);
   }
 }
--- a/src/whatif/recording.ts
+++ b/src/whatif/recording.ts
@@ -20,11 +20,11 @@
     return {
       ...nobody,
       machineUp: (machine) => {
-        this.events.push({ at: now(), event: "machine_up", ...of(machine) });
+        this.events.push({ at: Math.round(now()), event: "machine_up", ...of(machine) });
       },
       // Taken and failed machines are trouble, and stand in the trace as it was played.
       machineGone: (machine, why) => {
-        if (why === "deleted") this.events.push({ at: now(), event: "machine_down", ...of(machine), why });
+        if (why === "deleted") this.events.push({ at: Math.round(now()), event: "machine_down", ...of(machine), why });
       },
     };
   }
