--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -66,6 +66,7 @@
   // Nothing that arrives from outside may end the process; what slips through is a defect to be read about.
   process.on("uncaughtException", (error) => log.error("uncaught exception", { error: describeError(error) }));
   process.on("unhandledRejection", (error) => log.error("unhandled rejection", { error: describeError(error) }));
+  if (process.env.RAINRIDGE_END_WITH_STDIN === "1") process.stdin.on("end", () => process.exit(0)).resume();
   const clock = systemClock;
   const { maxConnections } = settings.quota;
   // A thousand machines report here, and idle connections to all of them as well would pass the limit.
--- a/src/model/local-site.ts
+++ b/src/model/local-site.ts
@@ -34,6 +34,8 @@
   readonly onError: (what: string) => void;
 }
 
+/** Known to `serve`. */
+const END_WITH_STDIN = "RAINRIDGE_END_WITH_STDIN";
 const START_PATIENCE = 15_000;
 const READY_POLL = 50;
 const RESTART = 1_000;
@@ -147,7 +149,9 @@
     writeFileSync(operators, JSON.stringify(options));
     const log = openSync(join(this.folder, `${labelOf(at)}.log`), "a");
     const child = spawn(process.execPath, [program, "serve", "--config", config, "--options", operators], {
-      stdio: ["ignore", "ignore", log],
+      // A pipe that ends with this process, however that ends: no controller stays behind.
+      stdio: ["pipe", "ignore", log],
+      env: { ...process.env, [END_WITH_STDIN]: "1" },
     });
     closeSync(log);
     this.children[at] = child;
