Plans sort and look up less: same choices

Profile of the fast model at 9,000 machines: a plan took 11.6 ms, a third of it sorting bins that come in order and looking up machines with tasks, which stay anyway. Bins are parted by use and kind and sorted only where their names are out of order.

--- a/src/coordination/decisions/rental.ts
+++ b/src/coordination/decisions/rental.ts
@@ -101,21 +101,27 @@
   reason: RentReason | null;
 }
 
-const order = (a: string, b: string): number => (a < b ? -1 : a > b ? 1 : 0);
+interface PresentBin extends Bin {
+  readonly machine: Machine;
+}
+
+/** Machines mostly come in the order of their names already, and sorting thousands in every plan was dear. */
+const inNameOrder = (bins: PresentBin[]): void => {
+  const sorted = bins.every((bin, at) => at === 0 || (bins[at - 1] as PresentBin).machine.name < bin.machine.name);
+  if (!sorted) bins.sort((a, b) => (a.machine.name < b.machine.name ? -1 : 1));
+};
 
 const presentBins = (picture: Picture, market: Market): Bin[] => {
-  const bins: Bin[] = [];
+  // Fullest and cheapest first: what stays empty at the end is what can go back.
+  const groups: [PresentBin[], PresentBin[], PresentBin[], PresentBin[]] = [[], [], [], []];
   for (const [machine, type] of readyMachines(picture)) {
-    const { zone, spot, used, tasks } = machine;
-    bins.push({ type, zone, spot, machine, free: minus(type.capacity, used), used: tasks.size > 0, reason: null });
+    const { zone, spot } = machine;
+    const used = machine.tasks.size > 0;
+    const free = minus(type.capacity, machine.used);
+    groups[(used ? 0 : 2) + (spot ? 0 : 1)]?.push({ type, zone, spot, machine, free, used, reason: null });
   }
-  // Fullest and cheapest first: what stays empty at the end is what can go back.
-  bins.sort(
-    (a, b) =>
-      Number(b.used) - Number(a.used) ||
-      Number(b.spot) - Number(a.spot) ||
-      order(a.machine?.name ?? "", b.machine?.name ?? ""),
-  );
+  for (const group of groups) inNameOrder(group);
+  const bins: Bin[] = groups.flat();
   for (const machine of picture.block.machines.values()) {
     const { type } = machine;
     if (type === null || machine.state !== "booting" || machine.deleting) continue;
@@ -337,7 +343,9 @@
 
 const giveBack = (picture: Picture, bins: readonly Bin[]): RentalPlan["back"] => {
   const { block, now, options } = picture;
-  const wanted = new Set(bins.filter((bin) => bin.used).map((bin) => bin.machine?.name));
+  const wanted = new Set<Machine>();
+  // Those with tasks stay anyway, and need not be looked up.
+  for (const { used, machine } of bins) if (used && machine !== null && machine.tasks.size === 0) wanted.add(machine);
   const back: { machine: Machine; reason: ReturnReason }[] = [];
   for (const machine of block.machines.values()) {
     if (machine.deleting || machine.tasks.size > 0) continue;
@@ -352,7 +360,7 @@
       continue;
     }
     const idle = now - machine.idleSince > seconds(options.idleReturnS) && age > MIN_CHARGE;
-    if (idle && !wanted.has(machine.name) && machine.noticeUntil === null) back.push({ machine, reason: "idle" });
+    if (idle && !wanted.has(machine) && machine.noticeUntil === null) back.push({ machine, reason: "idle" });
   }
   return back;
 };
