Let ports of machines that are gone rest for a minute

Guards against a command that is still under way to a machine that is gone and would be carried out by its successor on the same port: workers know commands by token and session only.

--- a/src/model/local-site.ts
+++ b/src/model/local-site.ts
@@ -36,6 +36,9 @@
 
 /** Known to `serve`. */
 const END_WITH_STDIN = "RAINRIDGE_END_WITH_STDIN";
+/** Those of machines that are gone rest for a while. */
+const PORTS_A_MACHINE = 3;
+const LEAST_PORTS = 48;
 const START_PATIENCE = 15_000;
 const READY_POLL = 50;
 const RESTART = 1_000;
@@ -125,9 +128,8 @@
     };
     for (let at = 0; at < 2 * count; at += 1) await probe(port + at);
     const machines = spec.capacity.reduce((sum, entry) => sum + entry.count, 0);
-    const net = await Loopback.open([addresses.state, addresses.cloud], machines, (error) =>
-      setup.onError(String(error)),
-    );
+    const ports = Math.max(LEAST_PORTS, PORTS_A_MACHINE * machines);
+    const net = await Loopback.open([addresses.state, addresses.cloud], ports, (error) => setup.onError(String(error)));
     const site = new LocalSite(setup, net, addresses);
     try {
       spec.controllers.forEach((_, at) => {
--- a/src/model/loopback.ts
+++ b/src/model/loopback.ts
@@ -40,6 +40,7 @@
 /** Message is one line naming the address. */
 export class PortError extends Error {}
 
+const REST = seconds(60);
 const HOST = "127.0.0.1";
 
 /** Hosts of the model on real sockets of 127.0.0.1, each on a port of its own; all ports are taken at the start. */
@@ -47,6 +48,7 @@
   private readonly hosts = new Map<string, Host>();
   private readonly servers: HttpServer[] = [];
   private readonly free: string[] = [];
+  private readonly resting: string[] = [];
   private readonly http = new NetHttpClient(systemClock, 1_024);
 
   /** `fixed`: addresses that must be as given; `machines`: how many more there may be at once. */
@@ -87,7 +89,7 @@
   }
 
   address(): string {
-    const address = this.free.shift();
+    const address = this.free.shift() ?? this.resting.shift();
     if (address === undefined) throw new PortError("no port left for a machine");
     return address;
   }
@@ -97,9 +99,17 @@
   }
 
   remove(host: Host): void {
-    this.hosts.delete(host.address);
-    // At the end of the queue: what was sent to the machine that is gone must not reach its successor soon.
-    this.free.push(host.address);
+    const { address } = host;
+    this.hosts.delete(address);
+    // Workers know commands by token and session only: one that is still under way to the machine that is gone would be
+    // carried out by its successor on the same port. So the port rests for longer than any command may take.
+    this.resting.push(address);
+    systemClock.after(REST, () => {
+      const at = this.resting.indexOf(address);
+      if (at < 0) return;
+      this.resting.splice(at, 1);
+      this.free.push(address);
+    });
   }
 
   client(): HttpClient {
