--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -1,3 +1,4 @@
+import type { SiteEvent } from "../bookkeeping/events.js";
 import { Controller } from "../coordination/controller.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
@@ -25,6 +26,8 @@
   readonly witness: Witness;
   readonly hearing: Hearing;
   log(level: "error" | "info", controller: number, event: string, fields: LogFields): void;
+  /** What the controllers would record, where one is to be listened to. */
+  readonly sink?: (event: SiteEvent) => void;
 }
 
 export interface SiteSetup {
@@ -160,6 +163,7 @@
       log: { error: line("error"), info: line("info"), debug: () => undefined },
       http: this.network.client(node.host.address, clock),
       random: this.random.next,
+      sink: this.watch.sink ?? null,
     };
     node.controller = new Controller(outside, settings, this.setup.options, `inc-${at}-${node.starts}`);
     node.host.state = "up";
--- a/src/whatif/trace.ts
+++ b/src/whatif/trace.ts
@@ -186,32 +186,35 @@
   return { events: withRunTimes(events) };
 };
 
-/** `task_end` tells how long a task took: folded into its job's submission, where that says nothing of it. */
+/**
+ * `task_end` tells how long a task took: folded into its job's submission, where that says nothing of it. Of the tasks
+ * that no end is known of, those of a job that was cancelled ran until then, and would have run on; the others ran
+ * about as long as the ones that ended; where none did, the owner's estimate stays.
+ */
 const withRunTimes = (events: readonly TraceEvent[]): readonly TraceEvent[] => {
   const runs = new Map<string, Record<string, number>>();
+  const cancelled = new Set<string>();
   for (const event of events) {
+    if (event.event === "abort") cancelled.add(event.job);
     if (event.event !== "task_end") continue;
     const known = runs.get(event.job) ?? {};
     known[event.index] = event.ranUs;
     runs.set(event.job, known);
   }
-  if (runs.size === 0) return events;
-  const out: TraceEvent[] = [];
-  for (const event of events) {
-    if (event.event === "task_end") continue;
-    const known = event.event === "submit" ? runs.get(event.job.ref) : undefined;
-    if (event.event !== "submit" || known === undefined) {
-      out.push(event);
-      continue;
-    }
-    const runsUs = { ...known, ...event.runsUs };
-    // Tasks still running at the trace's end ran at least as long as the others did on average.
-    const values = Object.values(runsUs);
-    const mean = Math.round(values.reduce((sum, value) => sum + value, 0) / values.length);
-    const merged: SubmitEvent = { ...event, runsUs, runUs: event.runUs === undefined ? mean : event.runUs };
-    out.push(merged);
-  }
-  return out;
+  const merged = (event: SubmitEvent): SubmitEvent => {
+    const known = runs.get(event.job.ref);
+    if (event.runUs !== undefined)
+      return known === undefined ? event : { ...event, runsUs: { ...known, ...event.runsUs } };
+    const values = Object.values({ ...known, ...event.runsUs });
+    const runsUs = values.length === 0 ? {} : { runsUs: { ...known, ...event.runsUs } };
+    if (cancelled.has(event.job.ref) && values.length < event.job.shards) return { ...event, ...runsUs, runUs: null };
+    if (values.length === 0) return event;
+    return { ...event, ...runsUs, runUs: Math.round(values.reduce((sum, value) => sum + value, 0) / values.length) };
+  };
+  return events.flatMap((event): TraceEvent[] => {
+    if (event.event === "task_end") return [];
+    return event.event === "submit" ? [merged(event)] : [event];
+  });
 };
 
 /**
--- a/test/replay.test.ts
+++ b/test/replay.test.ts
@@ -3,14 +3,16 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { HostClock, nobody, S, Site, type Witness, World } from "../src/model/index.js";
+import { HostClock, jobOf, nobody, S, Site, type Witness, World } from "../src/model/index.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import {
   agreement,
   cellsOf,
   compare,
+  formatTrace,
   headerOf,
   type Outcome,
+  parseTrace,
   Recording,
   type ReplayRequest,
   ResultLog,
@@ -21,6 +23,7 @@
   SiteObserver,
   sweep,
   type TraceEvent,
+  traceEventOf,
   writeTrace,
 } from "../src/whatif/index.js";
 import { Random } from "./random.js";
@@ -395,6 +398,68 @@
   assert.ok(seen.includes("machine up"));
 });
 
+test("what a running site's controllers record is replayed in the order in which its jobs really finished", async () => {
+  const spec = smallSite();
+  const events: TraceEvent[] = [];
+  const finished: [string, number][] = [];
+  const left = new Map(smallDay().flatMap((e) => (e.event === "submit" ? [[e.job.ref, e.job.shards] as const] : [])));
+  const nothing = (): undefined => undefined;
+  const hearing = {
+    submitted: nothing,
+    polled: nothing,
+    cancelAsked: nothing,
+    cancelAnswered: nothing,
+    dropped: nothing,
+  };
+  const errors: string[] = [];
+  const site = new Site({
+    spec,
+    options: DEFAULT_OPTIONS,
+    seed: 5,
+    watch: (world) => ({
+      witness: {
+        ...nobody,
+        taskDone: (task) => {
+          const job = jobOf(task);
+          left.set(job, (left.get(job) ?? 0) - 1);
+          if (left.get(job) === 0) finished.push([job, world.now]);
+        },
+      },
+      hearing,
+      log: (level, _, event) => {
+        if (level === "error") errors.push(event);
+      },
+      sink: (event) => events.push(traceEventOf(event, Math.round(world.now))),
+    }),
+  });
+  for (const event of [...smallDay(), ...troubles(30 * S)]) {
+    site.world.at(event.at, () => {
+      if (event.event === "submit") site.submit(event.job, { runUs: event.runUs ?? null });
+      if (event.event === "abort") site.users.cancel(event.job);
+      if (event.event === "controller_end") site.crash(event.controller, event.backAfterUs);
+      if (event.event === "state_outage") site.state.outage(event.forUs);
+    });
+  }
+  await site.world.run(160 * S, nothing);
+  assert.deepEqual(errors, []);
+  const remarks: string[] = [];
+  const text = formatTrace(headerOf(spec, "recorded", null), events);
+  const trace = parseTrace(text);
+  remarks.push(...trace.remarks.map(({ what }) => what));
+  const outcome = await replayed("faithful", requestFor(trace.events, spec, { seed: 5 }));
+  assert.deepEqual(
+    outcome.finishing,
+    finished.sort((a, b) => a[1] - b[1]).map(([job]) => job),
+    JSON.stringify(remarks),
+  );
+  for (const [job, at] of finished) {
+    const gap = Math.abs((outcome.jobs.find(({ id }) => id === job)?.finishUs ?? 0) - at) / S;
+    assert.ok(gap < 4, `${job}: ${gap} s apart`);
+  }
+  // The job that was cancelled is cancelled, and the outage is there.
+  assert.ok(trace.events.some(({ event }) => event === "abort"));
+});
+
 test("an event's promises are all kept before the next event, however long their chain", async () => {
   // The queue used to wait for a turn of the event loop after each event, which took most of a run.
   const world = new World();
