Machines of the fast model that stand at the beginning are found first; figures of what-if

Its standing machines were known at once, where real ones are sent from node to node first; the first plan then rented less, and one late boot kept services waiting. Change: they are heard of after 1 to 1.5 s, as the protocol's retries make it.

--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -39,6 +39,9 @@
 const TAKEOVER = 1_200_000;
 const PROBE = 2 * S;
 const REPORT_GAP = S / 2;
+/** Refused or sent elsewhere once, and then up to half a second on the way to the holder. */
+const FOUND_LEAST = S;
+const FOUND_MOST = 1.5 * S;
 const PLAN_PERIOD = 400_000;
 const QUIET_PLAN = 2 * S;
 const DRAIN_TICK = 250_000;
@@ -164,7 +167,10 @@
     private readonly heard: (machine: FastMachine) => void,
   ) {
     this.executor = new Executor(around, info, type, () => this.changed());
-    this.changed();
+    const { timeline, luck } = around;
+    // Machines that stand from the beginning have to find the holder first, while it already rents for what comes.
+    if (timeline.now > 0) this.changed();
+    else timeline.after(luck.between("found", info.name, FOUND_LEAST, FOUND_MOST), () => this.changed());
   }
 
   changed(): void {
