Part the commands and the fast model into smaller modules; untie a circle

local and whatif imported each other; the text of a result and the program's own path now stand below both.

--- a/src/commands/local.ts
+++ b/src/commands/local.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from "node:fs";
-import { fileURLToPath } from "node:url";
 import type { Command } from "commander";
 import type { Submission } from "../model/index.js";
 import { CommandError, DONE, Progress, positiveNumber, REFUSED, say, wholeNumber } from "./cli.js";
+import { PROGRAM } from "./with-whatif.js";
 
 interface LocalFlags {
   readonly machines: number;
@@ -15,7 +15,6 @@
   readonly json?: boolean;
 }
 
-export const PROGRAM = fileURLToPath(new URL("../main.js", import.meta.url));
 const LOOK = 250;
 const MOST_MACHINES = 400;
 
@@ -48,7 +47,7 @@
     import("../model/index.js"),
     import("../whatif/index.js"),
     import("../settings/options.js"),
-    import("./whatif.js"),
+    import("./outcome-text.js"),
   ]);
   const options = await loadOptions(flags.options ?? null).catch((error: unknown) => {
     throw new CommandError(error instanceof Error ? error.message : String(error), true);
--- /dev/null
+++ b/src/commands/outcome-text.ts
@@ -0,0 +1,140 @@
+import type { Outcome } from "../whatif/index.js";
+import { span, table } from "./cli.js";
+import { remarkLine } from "./with-whatif.js";
+
+const percent = (share: number | null): string => (share === null ? "-" : `${(share * 100).toFixed(1)} %`);
+
+const ENDED: Readonly<Record<Outcome["ended"], string>> = {
+  finished: "nothing was left to do",
+  until: "the time set was over",
+  stuck: "nothing moved any more, though jobs were open",
+};
+
+export const LATE_SHOWN = 20;
+
+/** A result for a person. */
+export const summaryOf = (outcome: Outcome): string => {
+  const { totals, waits, byCause, jobs, unmatched, remarks } = outcome;
+  const parts = [
+    `${outcome.trace}, ${outcome.mode} model, seed ${outcome.seed}: ended after ${span(outcome.endedUs)}, ${ENDED[outcome.ended]}`,
+    "",
+    table(
+      ["jobs", "done", "late", "never started", "starts", "stopped", "lost", "failed"],
+      [
+        [
+          totals.jobs,
+          totals.done,
+          totals.late,
+          totals.neverStarted,
+          totals.starts,
+          totals.stopped,
+          totals.lost,
+          totals.failed,
+        ].map(String),
+      ],
+    ),
+    "",
+    table(
+      ["machines", "refusals", "cost", "price", "utilisation"],
+      [
+        [
+          String(totals.machines),
+          String(totals.refusals),
+          totals.cost.toFixed(2),
+          totals.price === null ? "-" : totals.price.toFixed(2),
+          percent(totals.utilisation),
+        ],
+      ],
+    ),
+    "",
+    table(
+      ["class", "first starts", "half within", "90 % within", "99 % within", "longest"],
+      Object.entries(waits).map(([name, wait]) => [
+        name,
+        String(wait.starts),
+        span(wait.p50Us),
+        span(wait.p90Us),
+        span(wait.p99Us),
+        span(wait.mostUs),
+      ]),
+    ),
+    "",
+    table(
+      ["starts by what kept them", "starts"],
+      Object.entries(byCause).map(([cause, count]) => [cause, String(count)]),
+    ),
+  ];
+  const late = jobs
+    .filter(({ lateUs }) => lateUs !== null && lateUs > 0)
+    .sort((a, b) => (b.lateUs ?? 0) - (a.lateUs ?? 0));
+  if (late.length > 0) {
+    parts.push(
+      "",
+      table(
+        ["late job", "class", "state", "late by"],
+        late.slice(0, LATE_SHOWN).map(({ id, jobClass, phase, lateUs }) => [id, jobClass, phase, span(lateUs)]),
+      ),
+    );
+    if (late.length > LATE_SHOWN) parts.push(`and ${late.length - LATE_SHOWN} more`);
+  }
+  const never = jobs.filter(
+    ({ phase }) => phase === "never started" || phase === "refused" || phase === "not accepted",
+  );
+  if (never.length > 0) {
+    parts.push(
+      "",
+      table(
+        ["job without a start", "state"],
+        never.slice(0, LATE_SHOWN).map(({ id, phase }) => [id, phase]),
+      ),
+    );
+    if (never.length > LATE_SHOWN) parts.push(`and ${never.length - LATE_SHOWN} more`);
+  }
+  if (unmatched.length > 0) {
+    parts.push("", "Events without a counterpart in this replay:");
+    for (const { at, event, about, why } of unmatched) parts.push(`  ${span(at)}: ${event} ${about}: ${why}`);
+  }
+  if (remarks.length > 0) {
+    parts.push("", "Remarks:");
+    for (const remark of remarks) parts.push(`  ${remarkLine(remark)}`);
+  }
+  return parts.join("\n");
+};
+
+/** Its jobs, one line each. */
+export const csvOf = (outcome: Outcome): string => {
+  const head = [
+    "job",
+    "class",
+    "team",
+    "rank",
+    "tasks",
+    "state",
+    "submitUs",
+    "firstStartUs",
+    "finishUs",
+    "waitUs",
+    "dueUs",
+    "lateUs",
+  ];
+  const rows = outcome.jobs.map((job) =>
+    [
+      job.id,
+      job.jobClass,
+      job.team,
+      job.rank,
+      job.tasks,
+      job.phase,
+      job.submitUs,
+      job.firstStartUs,
+      job.finishUs,
+      job.waitUs,
+      job.dueUs,
+      job.lateUs,
+    ]
+      .map((value) => (value === null ? "" : String(value)))
+      .map((value) => (/[",\n]/.test(value) ? `"${value.replaceAll('"', '""')}"` : value))
+      .join(","),
+  );
+  return `${[head.join(","), ...rows].join("\n")}\n`;
+};
--- /dev/null
+++ b/src/commands/whatif-compare.ts
@@ -0,0 +1,151 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import type { Outcome, ScenarioSpec } from "../whatif/index.js";
+import { CommandError, Progress, say, span, table } from "./cli.js";
+import { LATE_SHOWN } from "./outcome-text.js";
+import { specOf } from "./whatif-run.js";
+import { withWhatif } from "./with-whatif.js";
+
+interface CompareFlags {
+  readonly variant: readonly string[];
+  readonly trace?: string;
+  readonly seeds: number;
+  readonly threads?: number;
+  readonly fast?: boolean;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+  readonly html?: string;
+  readonly svg?: string;
+}
+
+/** `name:key=value,key=value`; a name alone is the trace as it stands. */
+const variantSpec = (text: string, flags: CompareFlags): { readonly name: string; readonly spec: ScenarioSpec } => {
+  const at = text.indexOf(":");
+  const name = at < 0 ? text : text.slice(0, at);
+  const set = at < 0 ? [] : text.slice(at + 1).split(",");
+  return { name, spec: { ...specOf(flags.trace ?? "", { ...flags, set }), name } };
+};
+
+const isOutcome = (value: unknown): value is Outcome =>
+  typeof value === "object" && value !== null && "finishing" in value && "totals" in value;
+
+export const compareVariants = (files: readonly string[], flags: CompareFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    if (flags.variant.length > 0 && flags.trace === undefined)
+      throw new CommandError("--variant goes with --trace", true);
+    const ready: { name: string; outcomes: Outcome[] }[] = [];
+    const open: { readonly name: string; readonly spec: ScenarioSpec }[] = [];
+    for (const file of files) {
+      const value = whatif.readJsonFile(file);
+      if (isOutcome(value)) ready.push({ name: file, outcomes: [value] });
+      else {
+        const spec = whatif.readScenario(file);
+        open.push({ name: spec.name ?? file, spec });
+      }
+    }
+    open.push(...flags.variant.map((text) => variantSpec(text, flags)));
+    if (ready.length + open.length < 2)
+      throw new CommandError("nothing to compare: two results, scenarios or variants at least", true);
+    if (ready.length > 0 && open.length > 0)
+      throw new CommandError("results and scenarios cannot be mixed: their seeds differ", true);
+    const seeds =
+      ready.length > 0 ? [ready[0]?.outcomes[0]?.seed ?? 1] : Array.from({ length: flags.seeds }, (_, at) => at + 1);
+    const progress = new Progress(flags.progress === true);
+    const outcomes: Outcome[][] = open.map(() => []);
+    const cells = open.flatMap(({ spec }, which) => seeds.map((seed, at) => ({ spec, seed, which, at })));
+    let done = 0;
+    await whatif.replayAll(cells, flags.threads ?? null, (id, outcome) => {
+      const cell = cells[id];
+      const list = cell === undefined ? undefined : outcomes[cell.which];
+      if (cell !== undefined && list !== undefined) list[cell.at] = outcome;
+      done += 1;
+      progress.show(`${done} of ${cells.length} replays`);
+    });
+    progress.end();
+    const variants = [...ready, ...open.map(({ name }, at) => ({ name, outcomes: outcomes[at] ?? [] }))];
+    const comparison = whatif.compare(variants, seeds);
+    if (flags.html !== undefined || flags.svg !== undefined) {
+      const { report } = await whatif.loadReport();
+      const { html, plots } = await report(`What if: ${comparison.variants.join(" or ")}`, comparison, variants);
+      if (flags.html !== undefined) writeFileSync(flags.html, html);
+      if (flags.svg !== undefined) {
+        mkdirSync(flags.svg, { recursive: true });
+        for (const [name, svg] of Object.entries(plots)) writeFileSync(join(flags.svg, `${name}.svg`), svg);
+      }
+    }
+    if (flags.json === true) {
+      say(JSON.stringify(comparison));
+      return;
+    }
+    const { interval } = await whatif.loadReport();
+    const [first, ...others] = comparison.variants;
+    say(
+      table(
+        ["figure", ...comparison.variants, ...others.map((name) => `${name} - ${first}`), ...others.map(() => "")],
+        comparison.rows.map(({ metric, unit, values, differences, verdicts }) => [
+          metric,
+          ...values.map((value) => interval(value, unit)),
+          ...differences.slice(1).map((difference) => interval(difference, unit)),
+          ...verdicts.slice(1).map((verdict) => verdict ?? ""),
+        ]),
+      ),
+    );
+    for (const { name, becomesLate, noLongerLate } of comparison.changes) {
+      for (const [what, jobs] of [
+        ["becomes late", becomesLate],
+        ["no longer late", noLongerLate],
+      ] as const) {
+        say(`\n${name}: ${jobs.length} ${what}`);
+        for (const { job, jobClass, lateByUs } of jobs.slice(0, LATE_SHOWN))
+          say(`  ${job} (${jobClass}), by ${span(lateByUs)}`);
+      }
+    }
+  });
+
+interface SweepFlags {
+  readonly out: string;
+  readonly threads?: number;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+  readonly svg?: string;
+}
+
+export const runSweep = (file: string, flags: SweepFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const spec = whatif.readSweep(file);
+    const log = new whatif.ResultLog(flags.out, spec);
+    const progress = new Progress(flags.progress === true);
+    try {
+      await whatif.sweep(spec, log, flags.threads ?? null, (done, all) => progress.show(`${done} of ${all} cells`));
+    } finally {
+      log.close();
+    }
+    progress.end();
+    const rows = whatif.rowsOf(spec, log.results);
+    if (flags.svg !== undefined) {
+      const { paretoPlot } = await whatif.loadPlots();
+      const points = rows.flatMap(({ set, figures, front }) => {
+        const [x, y] = [figures[spec.pareto.x], figures[spec.pareto.y]];
+        return x === null || x === undefined || y === null || y === undefined
+          ? []
+          : [{ x, y, front, label: set.join(" ") }];
+      });
+      writeFileSync(flags.svg, await paretoPlot(points, spec.pareto.x, spec.pareto.y));
+    }
+    if (flags.json === true) {
+      say(JSON.stringify(rows));
+      return;
+    }
+    const names = Object.keys(rows[0]?.figures ?? {});
+    say(
+      table(
+        ["settings", "worth", "front", ...names],
+        rows.map(({ set, worth, front, figures }) => [
+          set.join(" "),
+          worth.toFixed(3),
+          front ? "*" : "",
+          ...names.map((name) => figures[name]?.toFixed(3) ?? "-"),
+        ]),
+      ),
+    );
+  });
--- /dev/null
+++ b/src/commands/whatif-run.ts
@@ -0,0 +1,111 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import type { ScenarioSpec } from "../whatif/index.js";
+import { CommandError, Progress, say, span } from "./cli.js";
+import { csvOf, summaryOf } from "./outcome-text.js";
+import { PROGRAM, withWhatif } from "./with-whatif.js";
+
+interface RunFlags {
+  readonly site?: string;
+  readonly options?: string;
+  readonly set: readonly string[];
+  readonly seed: number;
+  readonly until?: number;
+  readonly add?: string;
+  readonly at?: number;
+  readonly fast?: boolean;
+  readonly lenient?: boolean;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+  readonly out?: string;
+  readonly record?: string;
+}
+
+export const specOf = (trace: string, flags: Partial<RunFlags>): ScenarioSpec => ({
+  trace,
+  mode: flags.fast === true ? "fast" : "faithful",
+  ...(flags.site === undefined ? {} : { site: flags.site }),
+  ...(flags.options === undefined ? {} : { options: flags.options }),
+  ...(flags.set === undefined || flags.set.length === 0 ? {} : { set: flags.set }),
+  ...(flags.add === undefined ? {} : { add: flags.add }),
+  ...(flags.at === undefined ? {} : { atUs: flags.at }),
+  ...(flags.until === undefined ? {} : { untilUs: flags.until }),
+  ...(flags.lenient === true ? { lenient: true } : {}),
+});
+
+export const run = (trace: string, flags: RunFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    if (flags.at !== undefined && flags.add === undefined) throw new CommandError("--at goes with --add", true);
+    const spec = specOf(trace, flags);
+    const request = await whatif.prepare(spec, flags.seed);
+    const progress = new Progress(flags.progress === true);
+    const recording = flags.record === undefined ? null : new whatif.Recording(request.header);
+    const outcome = await whatif.replay(spec, {
+      ...request,
+      progress: (now, ledger) => progress.show(`${span(now)} played, ${ledger.openJobs} jobs open`),
+      ...(recording === null ? {} : { onPlayed: recording.played, witness: (now) => recording.witness(now) }),
+    });
+    progress.end();
+    if (recording !== null && flags.record !== undefined) {
+      await whatif.writeTrace(flags.record, { ...recording.header, site: request.site }, recording.events);
+    }
+    if (flags.out !== undefined) {
+      mkdirSync(flags.out, { recursive: true });
+      writeFileSync(join(flags.out, "outcome.json"), `${JSON.stringify(outcome, null, 1)}\n`);
+      writeFileSync(join(flags.out, "jobs.csv"), csvOf(outcome));
+    }
+    say(flags.json === true ? JSON.stringify(outcome) : summaryOf(outcome));
+  });
+
+const LEAD = 6_000_000;
+
+interface VerifyFlags {
+  readonly seed: number;
+  readonly port: number;
+  readonly tie?: number;
+  readonly json?: boolean;
+  readonly progress?: boolean;
+}
+
+export const verify = (trace: string, flags: VerifyFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const { PortError } = await import("../model/index.js");
+    const spec = specOf(trace, {});
+    const given = await whatif.prepare(spec, flags.seed);
+    // In both runs the controllers have come up and listed the machines before the first event.
+    const request = { ...given, events: given.events.map((event) => ({ ...event, at: event.at + LEAD })) };
+    const progress = new Progress(flags.progress === true);
+    const replayed = await whatif.replay(spec, request);
+    const real = await whatif
+      .playOnLoopback({
+        ...request,
+        port: flags.port,
+        program: PROGRAM,
+        onError: (what) => process.stderr.write(`rainridge: ${what}\n`),
+        onSite: (site) => process.once("exit", () => site.kill()),
+        progress: (now, ledger) =>
+          progress.show(`${span(now)} of ${span(replayed.endedUs)} played, ${ledger.openJobs} jobs open`),
+      })
+      .catch((error: unknown) => {
+        if (error instanceof PortError) throw new CommandError(error.message, true);
+        throw error;
+      });
+    progress.end();
+    const tieUs = flags.tie ?? request.site.workers.reportUs;
+    const result = whatif.agreement(real, replayed, tieUs);
+    if (flags.json === true)
+      say(JSON.stringify({ ...result, tieUs, loopback: real.finishing, replay: replayed.finishing }));
+    else {
+      say(
+        `${result.jobs} jobs finished in both; ${result.pairs} pairs, of which ${result.ties} within ${span(tieUs)} of each other (ties)`,
+      );
+      say(`finishing times differ by ${span(result.medianGapUs)} in the middle, ${span(result.mostGapUs)} at most`);
+      for (const id of result.onlyInOne) say(`  ${id} finished in one of the two only`);
+      for (const { first, second, behindUs, aheadUs } of result.disorders) {
+        say(`  ${first} before ${second} by ${span(behindUs)} on loopback, after it by ${span(aheadUs)} in the replay`);
+      }
+      say(result.agrees ? "the finishing order is the same" : "the finishing orders differ");
+    }
+    if (!result.agrees) throw new CommandError(`${trace}: finishing orders differ`);
+    process.exit(0);
+  });
--- /dev/null
+++ b/src/commands/whatif-traces.ts
@@ -0,0 +1,162 @@
+import type { Remark } from "../whatif/index.js";
+import { CommandError, Progress, say, span, table } from "./cli.js";
+import { remarkLine, type Whatif, withWhatif } from "./with-whatif.js";
+
+export const check = (file: string, flags: { readonly json?: boolean; readonly lenient?: boolean }): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const { header, events, remarks } = await whatif.readTrace(file, flags.lenient === true);
+    const counts = new Map<string, number>();
+    let tasks = 0;
+    for (const event of events) {
+      counts.set(event.event, (counts.get(event.event) ?? 0) + 1);
+      if (event.event === "submit") tasks += event.job.shards;
+    }
+    const spanUs = events.at(-1)?.at ?? 0;
+    if (flags.json === true) {
+      say(
+        JSON.stringify({
+          site: header.site.name,
+          source: header.source,
+          spanUs,
+          tasks,
+          events: Object.fromEntries(counts),
+          remarks,
+        }),
+      );
+      return;
+    }
+    say(
+      `${file}: site ${header.site.name}, ${header.source}, ${span(spanUs)}, ${tasks} tasks, ${header.standing.length} machines at the beginning`,
+    );
+    say(
+      table(
+        ["event", "count"],
+        [...counts].map(([kind, count]) => [kind, String(count)]),
+      ),
+    );
+    for (const remark of remarks) say(remarkLine(remark));
+  });
+
+export const synth = (
+  file: string,
+  flags: { readonly out: string; readonly seed?: number; readonly json?: boolean },
+): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const given = whatif.readSynthSpec(whatif.readJsonFile(file), file);
+    const { header, events } = whatif.synthesize({ ...given, seed: flags.seed ?? given.seed });
+    await whatif.writeTrace(flags.out, header, events);
+    const jobs = events.filter(({ event }) => event === "submit").length;
+    say(
+      flags.json === true
+        ? JSON.stringify({ out: flags.out, events: events.length, jobs })
+        : `${flags.out}: ${jobs} jobs, ${events.length} events`,
+    );
+  });
+
+interface ConvertFlags {
+  readonly out: string;
+  readonly config?: string;
+  readonly json?: boolean;
+}
+
+const settingsFrom = async (file: string) => {
+  const { load } = await import("./serving.js");
+  return (await load({ config: file })).settings;
+};
+
+const said = (
+  out: string,
+  events: readonly { readonly event: string }[],
+  remarks: readonly Remark[],
+  json: boolean,
+): void => {
+  const jobs = events.filter(({ event }) => event === "submit").length;
+  if (json) say(JSON.stringify({ out, jobs, events: events.length, remarks }));
+  else {
+    say(`${out}: ${jobs} jobs, ${events.length} events`);
+    for (const remark of remarks) say(remarkLine(remark));
+  }
+};
+
+export const convertFiles = (files: readonly string[], flags: ConvertFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    let site: { readonly header: ReturnType<Whatif["headerOf"]> } | null = null;
+    if (flags.config !== undefined) {
+      const settings = await settingsFrom(flags.config);
+      const types = await catalogue(settings.cloudAddress);
+      site = { header: whatif.headerOf(whatif.siteOf(settings, types), "converted", null) };
+    }
+    const { header, events, remarks } = await whatif.convert(files, site);
+    await whatif.writeTrace(flags.out, header, events);
+    said(flags.out, events, remarks, flags.json === true);
+  });
+
+const quietLog = { error: () => undefined, info: () => undefined, debug: () => undefined };
+
+/** The machine types, asked of the site's cloud. */
+const catalogue = async (address: string) => {
+  const [{ NetHttpClient }, { Cloud }, { systemClock }] = await Promise.all([
+    import("../transport/http-client.js"),
+    import("../coordination/cloud.js"),
+    import("../transport/clock.js"),
+  ]);
+  const reply = await new Cloud(new NetHttpClient(systemClock, 1), address, systemClock, quietLog, 1).types();
+  if (reply.kind !== "ok") throw new CommandError(`${address}: the cloud does not tell its machine types`);
+  return reply.value.types;
+};
+
+interface RecordFlags {
+  readonly config: string;
+  readonly out: string;
+  readonly for?: number;
+  readonly progress?: boolean;
+  readonly json?: boolean;
+}
+
+export const record = (flags: RecordFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const [{ NetHttpClient }, { systemClock }] = await Promise.all([
+      import("../transport/http-client.js"),
+      import("../transport/clock.js"),
+    ]);
+    const settings = await settingsFrom(flags.config);
+    const began = systemClock.now();
+    const iso = new Date().toISOString();
+    const events: import("../whatif/index.js").TraceEvent[] = [];
+    const progress = new Progress(flags.progress === true);
+    const observer = new whatif.SiteObserver(
+      new NetHttpClient(systemClock, 4),
+      systemClock,
+      quietLog,
+      settings,
+      Math.random,
+      (event) => {
+        events.push(whatif.traceEventOf(event, systemClock.now() - began));
+        progress.show(`${events.length} events`);
+      },
+    );
+    const stopped = new Promise<void>((resolve) => {
+      process.once("SIGINT", () => resolve());
+      process.once("SIGTERM", () => resolve());
+      if (flags.for !== undefined) setTimeout(resolve, flags.for / 1_000);
+    });
+    await Promise.race([observer.start(), stopped]);
+    if (observer.types.length === 0)
+      throw new CommandError(`${settings.cloudAddress}: the cloud does not tell its machine types`);
+    await stopped;
+    observer.stop();
+    progress.end();
+    const remarks: Remark[] = [];
+    const mended = whatif.mend(events, (what) => remarks.push({ line: 0, what }));
+    const header = whatif.headerOf(whatif.siteOf(settings, observer.types), "recorded", iso);
+    await whatif.writeTrace(flags.out, header, mended.events);
+    said(flags.out, mended.events, remarks, flags.json === true);
+    process.exit(0);
+  });
+
+export const printSchema = (of: string): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const schema = whatif.schemaOf(of);
+    if (schema === null) throw new CommandError(`${of}: no such schema; trace, site, scenario, sweep or synth`, true);
+    say(JSON.stringify(schema, null, 2));
+  });
--- /dev/null
+++ b/src/model/fast-machine.ts
@@ -0,0 +1,88 @@
+import { type Report, taskReport } from "../protocol/worker.js";
+import type { Occupant } from "./cloud-service.js";
+import { Executor, type ExecutorAround } from "./executor.js";
+import { HOP } from "./fast-writer.js";
+import type { TypeSpec } from "./site-spec.js";
+import type { HostInfo } from "./witness.js";
+import { S } from "./world.js";
+
+const REPORT_GAP = S / 2;
+/** Refused or sent elsewhere once, and then up to half a second on the way to the holder. */
+const FOUND_LEAST = S;
+const FOUND_MOST = 1.5 * S;
+/** One tenure of one holder; a token says nothing here. */
+export const TOKEN = 65_536;
+
+/** A machine of the fast model: runs tasks, and tells what has changed as often as a worker may report. */
+export class FastMachine implements Occupant {
+  readonly host = { address: "" };
+  readonly executor: Executor;
+  private armed = false;
+  private lastReport = -S;
+  private sequence = 0;
+  private noticeAt: number | null = null;
+  private gone = false;
+
+  constructor(
+    private readonly around: ExecutorAround,
+    readonly info: HostInfo,
+    type: TypeSpec,
+    private readonly heard: (machine: FastMachine) => void,
+  ) {
+    this.executor = new Executor(around, info, type, () => this.changed());
+    const { timeline, luck } = around;
+    // Machines that stand from the beginning have to find the holder first, while it already rents for what comes.
+    if (timeline.now > 0) this.changed();
+    else timeline.after(luck.between("found", info.name, FOUND_LEAST, FOUND_MOST), () => this.changed());
+  }
+
+  changed(): void {
+    const { timeline } = this.around;
+    if (this.armed || this.gone) return;
+    this.armed = true;
+    timeline.at(Math.max(timeline.now + HOP, this.lastReport + REPORT_GAP), () =>
+      this.executor.awake(() => {
+        this.armed = false;
+        this.lastReport = timeline.now;
+        this.heard(this);
+      }),
+    );
+  }
+
+  report(): Report {
+    this.sequence += 1;
+    const { name, type, zone, spot } = this.info;
+    const tasks = [...this.executor.list()].map((task) => taskReport(task.shard, task.try, task.phase, task.cause));
+    const noticeS = this.noticeAt === null ? null : Math.max(0, this.noticeAt - this.around.timeline.now) / S;
+    return {
+      machine: name,
+      address: "",
+      type,
+      zone,
+      spot,
+      session: 1,
+      sequence: this.sequence,
+      token: TOKEN,
+      noticeS,
+      tasks,
+    };
+  }
+
+  notice(inUs: number): void {
+    this.noticeAt = this.around.timeline.now + inUs;
+    this.changed();
+  }
+
+  hang(forUs: number): void {
+    this.executor.hang(forUs);
+  }
+
+  sicken(): void {
+    this.executor.sick = true;
+  }
+
+  end(): void {
+    this.gone = true;
+    this.executor.end();
+  }
+}
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -14,15 +14,16 @@
 import { type MachineType, readTypes } from "../protocol/cloud.js";
 import { Malformed } from "../protocol/json.js";
 import { type JobSpec, readSubmission } from "../protocol/user.js";
-import { type Report, taskReport } from "../protocol/worker.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
 import type { Micros } from "../transport/clock.js";
 import type { Log } from "../transport/log.js";
 import { RateLimit } from "../transport/rate-limit.js";
 import { jobBehaviour } from "./behaviour.js";
-import { CloudService, type Occupant, roomOf } from "./cloud-service.js";
-import { Executor, type ExecutorAround } from "./executor.js";
+import { CloudService, roomOf } from "./cloud-service.js";
+import type { ExecutorAround } from "./executor.js";
+import { FastMachine, TOKEN } from "./fast-machine.js";
+import { HOP, Writer } from "./fast-writer.js";
 import { Luck, Random } from "./random.js";
 import { simulatedAddresses } from "./site.js";
 import { catalogOf, type SiteSpec, settingsOf } from "./site-spec.js";
@@ -31,17 +32,10 @@
 import type { HostInfo, Witness } from "./witness.js";
 import { HostClock, S, World } from "./world.js";
 
-/** One way over the network, and how long a write, a cloud call and a restart take, as in the faithful model. */
-const HOP = 1_000;
-const WRITE_GATHER = 3_000;
-const WRITE_TIME = 5_000;
+/** How long a cloud call and a restart take, as in the faithful model. */
 const CLOUD_CALL = 100_000;
 const TAKEOVER = 1_200_000;
 const PROBE = 2 * S;
-const REPORT_GAP = S / 2;
-/** Refused or sent elsewhere once, and then up to half a second on the way to the holder. */
-const FOUND_LEAST = S;
-const FOUND_MOST = 1.5 * S;
 const PLAN_PERIOD = 400_000;
 const QUIET_PLAN = 2 * S;
 const DRAIN_TICK = 250_000;
@@ -63,8 +57,6 @@
 const NOTE_SHARE = 0.3;
 const NOTE_LEAST = S / 2;
 const NOTE_MOST = 15 * S;
-/** One tenure of one holder; a token says nothing here. */
-const TOKEN = 65_536;
 
 export interface FastSetup {
   readonly spec: SiteSpec;
@@ -73,157 +65,6 @@
   readonly watch: (world: World) => { readonly witness: Witness; readonly hearing: Hearing };
 }
 
-interface Write {
-  /** Puts and deletes that it takes of the budget. */
-  readonly count: number;
-  readonly leave: () => void;
-  readonly done: () => void;
-}
-
-/** The state service's budget, and the time until what was proposed counts; users' writes go first. */
-class Writer {
-  private readonly queues: readonly [Write[], Write[], Write[]] = [[], [], []];
-  private readonly limit: RateLimit;
-  private armed = false;
-  pausedUntil = 0;
-
-  constructor(
-    private readonly world: World,
-    clock: HostClock,
-    perSecond: number,
-    private readonly most: number,
-  ) {
-    this.limit = new RateLimit(clock, perSecond);
-  }
-
-  /** Seconds until a user's write proposed now is likely to leave. */
-  get backlogS(): number {
-    return this.queues[0].length / this.limit.current;
-  }
-
-  /** `urgency`: 0 users', 1 work, 2 upkeep. */
-  propose(urgency: 0 | 1 | 2, write: Write): void {
-    this.queues[urgency].push(write);
-    this.arm(WRITE_GATHER);
-  }
-
-  private arm(delay: number): void {
-    if (this.armed) return;
-    this.armed = true;
-    this.world.after(delay, () => {
-      this.armed = false;
-      this.flush();
-    });
-  }
-
-  private flush(): void {
-    const pause = this.pausedUntil - this.world.now;
-    if (pause > 0) {
-      this.arm(pause + HOP);
-      return;
-    }
-    for (;;) {
-      const first = this.queues.find((queue) => queue.length > 0)?.[0];
-      if (first === undefined) return;
-      const wait = this.limit.waitFor(first.count);
-      if (wait > 0) {
-        this.arm(wait);
-        return;
-      }
-      const most = Math.min(this.most, this.limit.available());
-      const batch: Write[] = [];
-      let count = 0;
-      for (const queue of this.queues) {
-        for (let write = queue[0]; write !== undefined; write = queue[0]) {
-          if (batch.length > 0 && count + write.count > most) break;
-          queue.shift();
-          batch.push(write);
-          count += write.count;
-        }
-      }
-      this.limit.take(count);
-      for (const write of batch) write.leave();
-      this.world.after(WRITE_TIME, () => {
-        for (const write of batch) write.done();
-      });
-    }
-  }
-}
-
-/** A machine of the fast model: runs tasks, and tells what has changed as often as a worker may report. */
-class FastMachine implements Occupant {
-  readonly host = { address: "" };
-  readonly executor: Executor;
-  private armed = false;
-  private lastReport = -S;
-  private sequence = 0;
-  private noticeAt: number | null = null;
-  private gone = false;
-
-  constructor(
-    private readonly around: ExecutorAround,
-    readonly info: HostInfo,
-    type: SiteSpec["types"][number],
-    private readonly heard: (machine: FastMachine) => void,
-  ) {
-    this.executor = new Executor(around, info, type, () => this.changed());
-    const { timeline, luck } = around;
-    // Machines that stand from the beginning have to find the holder first, while it already rents for what comes.
-    if (timeline.now > 0) this.changed();
-    else timeline.after(luck.between("found", info.name, FOUND_LEAST, FOUND_MOST), () => this.changed());
-  }
-
-  changed(): void {
-    const { timeline } = this.around;
-    if (this.armed || this.gone) return;
-    this.armed = true;
-    timeline.at(Math.max(timeline.now + HOP, this.lastReport + REPORT_GAP), () =>
-      this.executor.awake(() => {
-        this.armed = false;
-        this.lastReport = timeline.now;
-        this.heard(this);
-      }),
-    );
-  }
-
-  report(): Report {
-    this.sequence += 1;
-    const { name, type, zone, spot } = this.info;
-    const tasks = [...this.executor.list()].map((task) => taskReport(task.shard, task.try, task.phase, task.cause));
-    const noticeS = this.noticeAt === null ? null : Math.max(0, this.noticeAt - this.around.timeline.now) / S;
-    return {
-      machine: name,
-      address: "",
-      type,
-      zone,
-      spot,
-      session: 1,
-      sequence: this.sequence,
-      token: TOKEN,
-      noticeS,
-      tasks,
-    };
-  }
-
-  notice(inUs: number): void {
-    this.noticeAt = this.around.timeline.now + inUs;
-    this.changed();
-  }
-
-  hang(forUs: number): void {
-    this.executor.hang(forUs);
-  }
-
-  sicken(): void {
-    this.executor.sick = true;
-  }
-
-  end(): void {
-    this.gone = true;
-    this.executor.end();
-  }
-}
-
 /**
  * Placement, limits, preemption, rental, moves and back-off of the real code on one clock, with everything between
  * processes replaced by the time that it takes: no requests, leases, records or reports at rest. docs/whatif.md says
--- /dev/null
+++ b/src/model/fast-writer.ts
@@ -0,0 +1,85 @@
+import { RateLimit } from "../transport/rate-limit.js";
+import type { HostClock, World } from "./world.js";
+
+/** One way over the network, as in the faithful model. */
+export const HOP = 1_000;
+const WRITE_GATHER = 3_000;
+const WRITE_TIME = 5_000;
+
+/** What is written, and what follows from it. */
+export interface Write {
+  /** Puts and deletes that it takes of the budget. */
+  readonly count: number;
+  readonly leave: () => void;
+  readonly done: () => void;
+}
+
+/** The state service's budget, and the time until what was proposed counts; users' writes go first. */
+export class Writer {
+  private readonly queues: readonly [Write[], Write[], Write[]] = [[], [], []];
+  private readonly limit: RateLimit;
+  private armed = false;
+  pausedUntil = 0;
+
+  constructor(
+    private readonly world: World,
+    clock: HostClock,
+    perSecond: number,
+    private readonly most: number,
+  ) {
+    this.limit = new RateLimit(clock, perSecond);
+  }
+
+  /** Seconds until a user's write proposed now is likely to leave. */
+  get backlogS(): number {
+    return this.queues[0].length / this.limit.current;
+  }
+
+  /** `urgency`: 0 users', 1 work, 2 upkeep. */
+  propose(urgency: 0 | 1 | 2, write: Write): void {
+    this.queues[urgency].push(write);
+    this.arm(WRITE_GATHER);
+  }
+
+  private arm(delay: number): void {
+    if (this.armed) return;
+    this.armed = true;
+    this.world.after(delay, () => {
+      this.armed = false;
+      this.flush();
+    });
+  }
+
+  private flush(): void {
+    const pause = this.pausedUntil - this.world.now;
+    if (pause > 0) {
+      this.arm(pause + HOP);
+      return;
+    }
+    for (;;) {
+      const first = this.queues.find((queue) => queue.length > 0)?.[0];
+      if (first === undefined) return;
+      const wait = this.limit.waitFor(first.count);
+      if (wait > 0) {
+        this.arm(wait);
+        return;
+      }
+      const most = Math.min(this.most, this.limit.available());
+      const batch: Write[] = [];
+      let count = 0;
+      for (const queue of this.queues) {
+        for (let write = queue[0]; write !== undefined; write = queue[0]) {
+          if (batch.length > 0 && count + write.count > most) break;
+          queue.shift();
+          batch.push(write);
+          count += write.count;
+        }
+      }
+      this.limit.take(count);
+      for (const write of batch) write.leave();
+      this.world.after(WRITE_TIME, () => {
+        for (const write of batch) write.done();
+      });
+    }
+  }
+}
