--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -26,6 +26,18 @@
 const call = (...args: string[]): { status: number | null; stdout: string; stderr: string } =>
   spawnSync(process.execPath, [MAIN, ...args], { encoding: "utf8", maxBuffer: 64 * 1024 * 1024 });
 
+test("every switch under deploy/ is one that the schema knows", () => {
+  const deploy = fileURLToPath(new URL("../../../deploy/", import.meta.url));
+  const file = join(mkdtempSync(join(tmpdir(), "rainridge-")), "settings.toml");
+  writeFileSync(file, settingsText());
+  const names = readdirSync(deploy).filter((name) => name.endsWith(".json"));
+  assert.ok(names.includes("all-on.json") && names.includes("record.json"));
+  for (const name of names) {
+    const { status, stderr } = call("check", "--config", file, "--options", join(deploy, name));
+    assert.equal(status, 0, `${name}: ${stderr}`);
+  }
+});
+
 test("the example that ships is replayed as the README says", () => {
   const run = call("whatif", "run", EXAMPLE, "--fast", "--json");
   assert.equal(run.status, 0, run.stderr);
