--- a/src/main.ts
+++ b/src/main.ts
@@ -42,6 +42,9 @@
   process.exit(MISUSE);
 }
 
+// Whoever reads the output may stop reading, as `head` does.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => process.exit(error.code === "EPIPE" ? DONE : REFUSED));
+
 program.parseAsync().catch((error: unknown) => {
   process.exit(ended(error));
 });
