One piece of code for what an action changes, and one for the next event

On reading the change again: rounds.ts and the fast model both wrote out what place, stop, look later and dissolve change in the picture (now applyAction beside the actions); the world's two ways of running had the same loop over its queue; the recording switch imported again, and connected anew with, what serving has already.

--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -1,10 +1,12 @@
 import { randomBytes } from "node:crypto";
 import type { Sink } from "../bookkeeping/events.js";
+import { Cloud } from "../coordination/cloud.js";
 import { Controller } from "../coordination/controller.js";
 import { loadOptions } from "../settings/options.js";
 import { loadSettings, SettingsError } from "../settings/settings.js";
 import { countRequests } from "../stats.js";
 import { type Clock, seconds, systemClock } from "../transport/clock.js";
+import type { HttpClient } from "../transport/http.js";
 import { NetHttpClient, splitAddress } from "../transport/http-client.js";
 import { HttpServer } from "../transport/http-server.js";
 import { describeError, type Log } from "../transport/log.js";
@@ -38,17 +40,15 @@
 };
 
 /** Who is told what happens: a trace in a folder, the log at its most detailed, both, or, as a rule, nobody. */
-const sinkFor = async ({ settings, options }: Loaded, clock: Clock, log: Log): Promise<Sink> => {
+const sinkFor = async ({ settings, options }: Loaded, clock: Clock, log: Log, http: HttpClient): Promise<Sink> => {
   const debug = isDebug(process.env.LOG_LEVEL);
   if (options.record === null) return debug ? (event) => log.debug("seen", { event }) : null;
   // Loaded only where it is switched on.
   const { FileRecorder, headerOf, siteOf } = await import("../whatif/index.js");
-  const { NetHttpClient: Http } = await import("../transport/http-client.js");
-  const { Cloud } = await import("../coordination/cloud.js");
   const began = new Date().toISOString();
   let header: ReturnType<typeof headerOf> | null = null;
   const learn = async (): Promise<void> => {
-    const reply = await new Cloud(new Http(clock, 1), settings.cloudAddress, clock, log, 1).types();
+    const reply = await new Cloud(http, settings.cloudAddress, clock, log, 1).types();
     if (reply.kind === "ok") header = headerOf(siteOf(settings, reply.value.types), "recorded", began);
     else clock.after(seconds(5), () => void learn());
   };
@@ -71,7 +71,7 @@
   const { maxConnections } = settings.quota;
   // A thousand machines report here, and idle connections to all of them as well would pass the limit.
   const http = new NetHttpClient(clock, Math.max(16, Math.floor(maxConnections * IDLE_SHARE)));
-  const sink = await sinkFor({ settings, options }, clock, log);
+  const sink = await sinkFor({ settings, options }, clock, log, http);
   const outside = { clock, log, http, random: Math.random, sink };
   const incarnation = randomBytes(8).toString("hex");
   const controller = new Controller(outside, settings, options, incarnation);
--- a/src/coordination/decisions/round.ts
+++ b/src/coordination/decisions/round.ts
@@ -1,4 +1,6 @@
+import type { Block } from "../../bookkeeping/block.js";
 import type { Job, Machine, Task } from "../../bookkeeping/picture.js";
+import { attemptOf } from "../../bookkeeping/tasks.js";
 import { assign } from "../placement/bfgp.js";
 import { zoneCounts } from "./eligibility.js";
 import { type Candidate, copyOf, type Floor, knownFull, noteFull, roomiest, survey } from "./floor.js";
@@ -25,6 +27,33 @@
   | { readonly kind: "wait"; readonly job: Job; readonly reason: WaitReason }
   | PreemptAction;
 
+/** What an action changes in the picture; records, commands and waking are for whoever carries it out. */
+export const applyAction = (block: Block, action: RoundAction): void => {
+  switch (action.kind) {
+    case "place": {
+      const { task, machine } = action;
+      block.occupy(task, machine);
+      task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: machine.name };
+      return;
+    }
+    case "look later":
+      action.task.preemptAfter = action.at;
+      return;
+    case "stop":
+      for (const { task, graceS, notBefore } of action.victims) {
+        task.stop = { graceS };
+        task.notBefore = notBefore;
+      }
+      return;
+    case "dissolve": {
+      const { checkpointS, saveS } = action.job.spec;
+      for (const task of action.job.placed) task.stop ??= { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
+      return;
+    }
+    case "wait":
+  }
+};
+
 /** What is kept from round to round. */
 export interface RoundMemory {
   readonly promised: Promised;
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -1,9 +1,7 @@
-import type { Job, Machine, Task } from "../bookkeeping/picture.js";
-import { attemptOf } from "../bookkeeping/tasks.js";
 import { type BlockContext, firstToken } from "./context.js";
 import { summary } from "./decisions/floor.js";
 import type { Picture } from "./decisions/picture.js";
-import { decideRound, newMemory, type RoundAction } from "./decisions/round.js";
+import { applyAction, decideRound, newMemory, type RoundAction } from "./decisions/round.js";
 import type { Work } from "./placement/ranking.js";
 import type { Recorder } from "./recorder.js";
 
@@ -42,45 +40,27 @@
   }
 
   private carryOut(action: RoundAction): void {
+    const { block, log } = this.context;
+    applyAction(block, action);
     switch (action.kind) {
       case "place":
-        this.put(action.task, action.machine);
-        return;
-      case "look later":
-        action.task.preemptAfter = action.at;
+        this.recorder.mark(action.task.range);
         return;
       case "stop": {
         const { by, machine, victims } = action;
-        this.context.log.info("preempting", {
+        log.info("preempting", {
           task: by.name,
           machine: machine.name,
           victims: victims.map(({ task }) => task.name),
         });
-        for (const { task, graceS, notBefore } of victims) {
-          task.stop = { graceS };
-          task.notBefore = notBefore;
-        }
         this.context.wakeCommands(machine);
         return;
       }
       case "dissolve":
-        this.dissolve(action.job);
+        for (const { on } of action.job.placed) if (on !== null) this.context.wakeCommands(on);
         return;
+      case "look later":
       case "wait":
     }
   }
-
-  private put(task: Task, machine: Machine): void {
-    this.context.block.occupy(task, machine);
-    task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: machine.name };
-    this.recorder.mark(task.range);
-  }
-
-  private dissolve(job: Job): void {
-    const { checkpointS, saveS } = job.spec;
-    for (const task of job.placed) {
-      task.stop ??= { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
-      if (task.on !== null) this.context.wakeCommands(task.on);
-    }
-  }
 }
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -1,6 +1,6 @@
 import { Block } from "../bookkeeping/block.js";
 import { newMachine } from "../bookkeeping/machines.js";
-import type { Job, Machine, Range, Task } from "../bookkeeping/picture.js";
+import type { Job, Machine, Range } from "../bookkeeping/picture.js";
 import type { TaskRecord } from "../bookkeeping/records.js";
 import { attemptOf, confirmed, isActive } from "../bookkeeping/tasks.js";
 import type { BlockLease } from "../coordination/context.js";
@@ -9,7 +9,7 @@
 import { decideEmptying } from "../coordination/decisions/emptying.js";
 import type { Picture } from "../coordination/decisions/picture.js";
 import { decideRental, History, type Market, type Option, Refusals } from "../coordination/decisions/rental.js";
-import { decideRound, newMemory, type RoundAction } from "../coordination/decisions/round.js";
+import { applyAction, decideRound, newMemory, type RoundAction } from "../coordination/decisions/round.js";
 import { Observer } from "../coordination/observer.js";
 import { type MachineType, readTypes } from "../protocol/cloud.js";
 import { Malformed } from "../protocol/json.js";
@@ -472,39 +472,23 @@
   }
 
   private carryOut(action: RoundAction): void {
+    applyAction(this.block, action);
     switch (action.kind) {
       case "place":
-        this.put(action.task, action.machine);
-        return;
-      case "look later":
-        action.task.preemptAfter = action.at;
+        this.mark(action.task.range);
         return;
       case "stop":
-        for (const { task, graceS, notBefore } of action.victims) {
-          task.stop = { graceS };
-          task.notBefore = notBefore;
-        }
         this.attend(action.machine);
         this.command(action.machine);
         return;
-      case "dissolve": {
-        const { checkpointS, saveS } = action.job.spec;
-        for (const task of action.job.placed) {
-          task.stop ??= { graceS: checkpointS > 0 ? Math.ceil(saveS) : 0 };
-          if (task.on !== null) this.command(task.on);
-        }
+      case "dissolve":
+        for (const { on } of action.job.placed) if (on !== null) this.command(on);
         return;
-      }
+      case "look later":
       case "wait":
     }
   }
 
-  private put(task: Task, machine: Machine): void {
-    this.block.occupy(task, machine);
-    task.want = { kind: "placed", attempt: attemptOf(task.want) + 1, machine: machine.name };
-    this.mark(task.range);
-  }
-
   private market(): Market {
     return {
       asked: this.asks,
--- a/src/model/world.ts
+++ b/src/model/world.ts
@@ -59,15 +59,23 @@
     this.stopped = true;
   }
 
-  /** Runs until `end`; after each event everything that it caused at once has happened, then `check` looks. */
-  async run(end: number, check: () => void): Promise<void> {
-    this.stopped = false;
+  /** Runs the next event that is due by `end`; false if there is none. */
+  private step(end: number): boolean {
     for (let event = this.queue.peek(); event !== undefined && event.at <= end; event = this.queue.peek()) {
       this.queue.pop();
       if (event.cancelled) continue;
       this.now = event.at;
       event.run();
       this.count += 1;
+      return true;
+    }
+    return false;
+  }
+
+  /** Runs until `end`; after each event everything that it caused at once has happened, then `check` looks. */
+  async run(end: number, check: () => void): Promise<void> {
+    this.stopped = false;
+    while (this.step(end)) {
       if (this.count % BREATH === 0) await turn();
       else await settled();
       check();
@@ -79,12 +87,7 @@
   /** The same for worlds in which nothing waits for a promise: some ten times as quick. */
   runAtOnce(end: number, check: () => void = () => undefined): void {
     this.stopped = false;
-    for (let event = this.queue.peek(); event !== undefined && event.at <= end; event = this.queue.peek()) {
-      this.queue.pop();
-      if (event.cancelled) continue;
-      this.now = event.at;
-      event.run();
-      this.count += 1;
+    while (this.step(end)) {
       check();
       if (this.stopped) return;
     }
