One piece of code for what befalls a site, simulated or on sockets

The faithful replay and the run on loopback both wrote out how a trace's troubles fall on the stand-ins, and how the machines that stand at the beginning are set up (now befalls and standUp).

--- a/src/whatif/conduct.ts
+++ b/src/whatif/conduct.ts
@@ -62,6 +62,14 @@
       : [{ line: 1, what: `${machine}: zone ${zone} has no ${type} in the site, left out` }];
   });
 
+/** Sets up the machines that stand at the beginning, as far as the site has their type and zone. */
+export const standUp = ({ header, site }: ReplayRequest, cloud: CloudService): void => {
+  for (const { type, zone, spot } of header.standing) {
+    const known = site.types.find(({ name }) => name === type);
+    if (known?.zones.includes(zone) === true) cloud.add(known, zone, spot, 0);
+  }
+};
+
 /** A model as far as a replay needs it: both have the same parts, and differ in how their world runs. */
 interface Played {
   readonly world: World;
@@ -77,11 +85,8 @@
 
 /** Sets the machines up that stand at the beginning, plays the events, and stops the world when it is over. */
 export const conduct = (request: ReplayRequest, { world, cloud, submit, others }: Played, books: Ledger): Conducted => {
-  const { header, site, seed, untilUs, events } = request;
-  for (const { type, zone, spot } of header.standing) {
-    const known = site.types.find(({ name }) => name === type);
-    if (known?.zones.includes(zone) === true) cloud.add(known, zone, spot, 0);
-  }
+  const { seed, untilUs, events } = request;
+  standUp(request, cloud);
   const before = beforeOf(events);
   const stage: Stage = {
     get now() {
--- a/src/whatif/faithful.ts
+++ b/src/whatif/faithful.ts
@@ -2,6 +2,7 @@
 import { conduct, type ReplayRequest } from "./conduct.js";
 import { Ledger } from "./ledger.js";
 import type { Outcome } from "./outcome.js";
+import { befalls } from "./stage.js";
 
 const plain = (_: string, value: unknown): unknown => (typeof value === "bigint" ? String(value) : value);
 
@@ -33,25 +34,14 @@
   });
   const [ledger] = books;
   if (ledger === undefined) throw new Error("no ledger");
-  const { world, cloud, users, state } = site;
+  const { world, cloud } = site;
   const conducted = conduct(
     request,
     {
       world,
       cloud,
       submit: (job, behaviour) => site.submit(job, behaviour),
-      others: {
-        cancel: (job) => users.cancel(job),
-        take: (machine, why) => cloud.take(machine, why),
-        notice: (machine, withinUs) => cloud.machines.get(machine)?.worker?.notice(withinUs),
-        silent: (machine, forUs) => cloud.machines.get(machine)?.worker?.hang(forUs),
-        faulty: (machine) => cloud.machines.get(machine)?.worker?.sicken(),
-        cloudOutage: (forUs) => {
-          cloud.outageUntil = Math.max(cloud.outageUntil, world.now + forUs);
-        },
-        stateOutage: (forUs) => state.outage(forUs),
-        controllerEnd: (controller, backAfterUs) => site.crash(controller, backAfterUs),
-      },
+      others: befalls(site, world),
     },
     ledger,
   );
--- a/src/whatif/on-loopback.ts
+++ b/src/whatif/on-loopback.ts
@@ -1,8 +1,9 @@
 import { both, LocalSite, nobody, S } from "../model/index.js";
-import type { ReplayRequest } from "./conduct.js";
+import { type ReplayRequest, standUp } from "./conduct.js";
 import { Ledger } from "./ledger.js";
 import type { JobOutcome, Outcome } from "./outcome.js";
 import { Player } from "./player.js";
+import { befalls } from "./stage.js";
 
 const LOOK = S / 2;
 const AFTERMATH = 8 * S;
@@ -17,7 +18,7 @@
 
 /** Plays a trace in real time on real sockets of this machine, the controllers as processes of their own. */
 export const playOnLoopback = async (request: LoopbackRequest): Promise<Outcome> => {
-  const { header, site: spec, options, seed, events, untilUs } = request;
+  const { site: spec, options, seed, events, untilUs } = request;
   const books: Ledger[] = [];
   let zero = 0;
   let now = (): number => 0;
@@ -41,13 +42,10 @@
   request.onSite?.(site);
   const [ledger] = books;
   if (ledger === undefined) throw new Error("no ledger");
-  const { timeline, cloud, state, users } = site;
+  const { timeline, cloud } = site;
   zero = timeline.now;
   try {
-    for (const { type, zone, spot } of header.standing) {
-      const known = spec.types.find(({ name }) => name === type);
-      if (known?.zones.includes(zone) === true) cloud.add(known, zone, spot, 0);
-    }
+    standUp(request, cloud);
     const player = new Player(
       {
         get now() {
@@ -58,18 +56,9 @@
           ledger.opened(job, 0);
           site.submit(job, behaviour);
         },
-        cancel: (job) => users.cancel(job),
         machines: () => cloud.running().map(({ info }) => info),
-        take: (machine, why) => cloud.take(machine, why),
-        notice: (machine, withinUs) => cloud.machines.get(machine)?.worker?.notice(withinUs),
-        silent: (machine, forUs) => cloud.machines.get(machine)?.worker?.hang(forUs),
-        faulty: (machine) => cloud.machines.get(machine)?.worker?.sicken(),
         refuse: (type, zone, spot, forUs) => cloud.refuse(type, zone, spot, forUs),
-        cloudOutage: (forUs) => {
-          cloud.outageUntil = Math.max(cloud.outageUntil, timeline.now + forUs);
-        },
-        stateOutage: (forUs) => state.outage(forUs),
-        controllerEnd: (controller, backAfterUs) => site.crash(controller, backAfterUs),
+        ...befalls(site, timeline),
       },
       events,
       request.onPlayed,
--- a/src/whatif/stage.ts
+++ b/src/whatif/stage.ts
@@ -1,4 +1,4 @@
-import type { Behaviour, HostInfo, Submission } from "../model/index.js";
+import type { Behaviour, CloudService, HostInfo, StateService, Submission, Timeline, Users } from "../model/index.js";
 
 /** What a trace is played on: the faithful model, the fast one, or real sockets on loopback. */
 export interface Stage {
@@ -17,3 +17,28 @@
   stateOutage(forUs: number): void;
   controllerEnd(controller: number, backAfterUs: number): void;
 }
+
+/** A site whose parts are stand-ins, simulated or on sockets. */
+interface StandIns {
+  readonly cloud: CloudService;
+  readonly state: StateService;
+  readonly users: Users;
+  crash(controller: number, backAfterUs: number): void;
+}
+
+/** What befalls such a site, the same however its parts reach each other. */
+export const befalls = (
+  site: StandIns,
+  timeline: Timeline,
+): Omit<Stage, "now" | "after" | "submit" | "machines" | "refuse"> => ({
+  cancel: (job) => site.users.cancel(job),
+  take: (machine, why) => site.cloud.take(machine, why),
+  notice: (machine, withinUs) => site.cloud.machines.get(machine)?.worker?.notice(withinUs),
+  silent: (machine, forUs) => site.cloud.machines.get(machine)?.worker?.hang(forUs),
+  faulty: (machine) => site.cloud.machines.get(machine)?.worker?.sicken(),
+  cloudOutage: (forUs) => {
+    site.cloud.outageUntil = Math.max(site.cloud.outageUntil, timeline.now + forUs);
+  },
+  stateOutage: (forUs) => site.state.outage(forUs),
+  controllerEnd: (controller, backAfterUs) => site.crash(controller, backAfterUs),
+});
