Stops that pay: entitlement by job, one ledger for a round, a bound on stops a task

Cause, from the log: a team was within its guarantee by its present use, task by task; what had been told to stop still counted as its use; so of two teams that both wanted more than they were guaranteed, whichever had been stopped last was entitled again and stopped the other's.

Change: a job is entitled while it fits into its team's guarantee together with the team's earlier unfinished jobs, and stays so; stops for guarantees go from entitled jobs to others only, over a ledger that counts what is stopping and the set being considered, never below a team's guarantee. A stop must not throw away more than is gained; what ends within 3 s is left to end; nothing is stopped after its third attempt (attempts are on record, so handovers keep the bound). Guarantees that exceed the room are logged and served by equal shares.

--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -31,6 +31,7 @@
       waiting: new Set(),
       placed: new Set(),
       done: 0,
+      entitled: false,
       seenAt: this.clock.now(),
       ending: false,
       failedOn: new Set(),
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -106,6 +106,8 @@
   /** Tasks that may be on a machine. */
   readonly placed: Set<Task>;
   done: number;
+  /** Fits, or once fitted, into its team's guarantee together with the team's earlier unfinished jobs. */
+  entitled: boolean;
   readonly seenAt: Micros;
   ending: boolean;
   /** Machines on which a task of it failed since one last succeeded or ran on. */
--- a/src/coordination/decisions/floor.ts
+++ b/src/coordination/decisions/floor.ts
@@ -6,6 +6,7 @@
 import { allows, readyMachines, unready, zoneAllowed, zoneCounts } from "./eligibility.js";
 import { waitingJobs } from "./order.js";
 import type { Picture } from "./picture.js";
+import type { Shares } from "./shares.js";
 
 export interface Candidate extends Ranked {
   readonly machine: Machine;
@@ -62,6 +63,7 @@
   readonly zonesWithRoom: Map<Job, ReadonlySet<string>>;
   /** Machines of the tasks that a job had placed when it was first looked at for something to stop. */
   readonly placedOn: Map<Job, readonly Machine[]>;
+  readonly shares: Shares;
   preemptions: number;
 }
 
@@ -86,7 +88,7 @@
 };
 
 /** The machines as a round finds them, in pools, for the jobs that wait. */
-export const survey = (picture: Picture, jobs: readonly Job[]): Floor => {
+export const survey = (picture: Picture, jobs: readonly Job[], shares: Shares): Floor => {
   let least: Demand = jobs[0]?.spec.demand ?? { cpu: 0, gpu: 0, ram: 0 };
   for (const { spec } of jobs) {
     const { cpu, gpu, ram } = spec.demand;
@@ -123,6 +125,7 @@
     full: new Map(),
     zonesWithRoom: new Map(),
     placedOn: new Map(),
+    shares,
     preemptions: 0,
   };
 };
--- a/src/coordination/decisions/order.ts
+++ b/src/coordination/decisions/order.ts
@@ -1,11 +1,19 @@
 import type { Job } from "../../bookkeeping/picture.js";
+import type { Team } from "../../settings/settings.js";
 import { seconds } from "../../transport/clock.js";
 import { weight } from "../placement/bfgp.js";
 import { rankOf } from "./eligibility.js";
 import type { Picture } from "./picture.js";
 
+/** Of its guarantee, what the team uses now, by the resource of which it uses most. */
+const shareUsed = (used: { readonly cpu: number; readonly gpu: number }, team: Team | undefined): number => {
+  if (team === undefined) return 1;
+  const { cpu, gpu } = team.guaranteed;
+  return Math.max(cpu > 0 ? used.cpu / cpu : 0, gpu > 0 ? used.gpu / gpu : 0);
+};
+
 /** Jobs with something to place now, most important and largest first. */
-export const waitingJobs = ({ block, now }: Picture): Job[] => {
+export const waitingJobs = ({ block, now, settings, guaranteesShort }: Picture): Job[] => {
   const jobs: Job[] = [];
   for (const job of block.jobs.values()) {
     if (job.cancelled || job.ending || job.retryAfter > now) continue;
@@ -18,7 +26,10 @@
   const keyed = jobs.map((job) => ({
     job,
     rank: rankOf(job.spec),
-    borrowed: block.withinGuarantee(job.spec) ? 0 : 1,
+    borrowed: job.entitled ? 0 : block.withinGuarantee(job.spec) ? 1 : 2,
+    // Where not all guarantees can be met, each team gets the same share of its own.
+    fill:
+      guaranteesShort && job.entitled ? shareUsed(block.teamUse(job.spec.team), settings.teams.get(job.spec.team)) : 0,
     size: weight(job.spec.demand, reference),
     short: job.spec.shape === "service" ? 1 - job.placed.size / job.spec.tasks : 0,
     due: job.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : job.seenAt + seconds(job.spec.deadlineS),
@@ -27,6 +38,7 @@
     (a, b) =>
       a.rank - b.rank ||
       a.borrowed - b.borrowed ||
+      a.fill - b.fill ||
       b.size - a.size ||
       // Where room is short for good, a replica is worth most to a service that has few of its own.
       b.short - a.short ||
--- a/src/coordination/decisions/picture.ts
+++ b/src/coordination/decisions/picture.ts
@@ -18,6 +18,8 @@
   readonly silentAfter: number;
   /** A worker that has not seen this token is not known well enough. */
   readonly firstToken: number;
+  /** Teams' guarantees are together more than the room there is: they are served by turns, not fought for. */
+  readonly guaranteesShort: boolean;
   /** Counts what is looked at. */
   readonly work: Work;
 }
--- a/src/coordination/decisions/preemption.ts
+++ b/src/coordination/decisions/preemption.ts
@@ -1,10 +1,13 @@
 import type { Job, Machine, Task } from "../../bookkeeping/picture.js";
+import { attemptOf } from "../../bookkeeping/tasks.js";
+import type { MachineType } from "../../protocol/cloud.js";
 import type { Demand } from "../../protocol/user.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { fits, minus, plus } from "../placement/bfgp.js";
 import { allows, rankOf, zoneAllowed, zoneCounts } from "./eligibility.js";
 import { type Floor, zonesWithRoom } from "./floor.js";
 import type { Picture } from "./picture.js";
+import type { Tally } from "./shares.js";
 
 const PREEMPT_PAUSE = seconds(3);
 const MOVE_PAUSE = seconds(0.3);
@@ -16,6 +19,12 @@
 /** Work is only stopped for a guarantee once this share of the time that it has is over: room may come up by itself. */
 const GUARANTEE_PATIENCE = 0.6;
 const GUARANTEE_TIME = seconds(10);
+/** What a stop costs beyond the progress lost: getting going again, and, of the image's fetch, the share that is lost. */
+const START_COST = seconds(1);
+const FETCH_AGAIN = 0.5;
+const ENDS_SOON = seconds(3);
+/** Estimates of next to nothing would make no stop pay. */
+const LEAST_WORTH = seconds(10);
 
 /** Why a task is stopped for another: its priority is lower, its team borrows, or it has a place elsewhere. */
 export type StopReason = "outranked" | "guarantee" | "moved";
@@ -43,16 +52,14 @@
 
 /** May a task of the other job be stopped for this one? The same for all of that job's tasks. */
 const mayStopJob = (picture: Picture, task: Task, job: Job): "outranked" | "guarantee" | null => {
-  const { block, now, settings } = picture;
+  const { now } = picture;
   if (job.cancelled) return null;
   const other = job.spec;
   if (rankOf(other) > rankOf(task.job.spec)) return "outranked";
   // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
   if (other.shape === "service") return null;
   if (other.team === task.job.spec.team || now - task.waitingSince < patience(picture)) return null;
-  const guaranteed = settings.teams.get(other.team)?.guaranteed;
-  const beyond = guaranteed === undefined || block.teamUse(other.team).cpu > guaranteed.cpu;
-  const allowed = beyond && block.withinGuarantee(task.job.spec) && rankOf(other) >= rankOf(task.job.spec);
+  const allowed = task.job.entitled && !job.entitled && rankOf(other) >= rankOf(task.job.spec);
   return allowed ? "guarantee" : null;
 };
 
@@ -116,11 +123,89 @@
   reason(victim: Task): StopReason | null {
     const known = this.reasons.get(victim.job);
     if (known === undefined || victim.stop !== null || victim.launch.kind !== "seen") return null;
-    if (known.moves && hasElsewhere(victim, this.floor)) return "moved";
-    return known.stop;
+    const { shares } = this.floor;
+    if (known.moves && !shares.settled(victim, 1) && hasElsewhere(victim, this.floor)) return "moved";
+    if (known.stop === null || shares.settled(victim)) return null;
+    return known.stop === "outranked" || shares.sparable(victim) ? known.stop : null;
+  }
+
+  tally(): Tally {
+    return this.floor.shares.tally();
   }
 }
 
+/** What is lost by stopping the task, as time of its machine's share: its progress, a fetch and a start. */
+const lossOf = (victim: Task, now: Micros): number => {
+  const { checkpointS, saveS, imageGb, demand } = victim.job.spec;
+  const ran = victim.runningSince === null ? 0 : now - victim.runningSince;
+  const fetch = seconds(imageGb / Math.max(0.01, victim.on?.type?.fetchGbPerS ?? 1)) * FETCH_AGAIN;
+  const progress = checkpointS > 0 ? Math.min(ran, seconds(saveS)) : ran;
+  // Each stop before makes it dearer: the same task's work was thrown away already.
+  return (progress + fetch + START_COST) * Math.max(1, demand.cpu) * Math.max(1, attemptOf(victim.want));
+};
+
+/** It ends by itself about as soon as another would have started in its place. */
+const endsAnyway = (victim: Task, now: Micros): boolean => {
+  const { shape, estimateS } = victim.job.spec;
+  if (shape === "service" || estimateS <= 0 || victim.runningSince === null) return false;
+  const left = victim.runningSince + seconds(estimateS) - now;
+  return left > -ENDS_SOON && left < ENDS_SOON;
+};
+
+/**
+ * The most that may be lost for a task that is to get its guarantee: what it is itself going to do. To throw away
+ * more than is gained leaves the queue longer than before. For higher priority there is no such bound.
+ */
+const worthOf = (task: Task): number => {
+  const { shape, estimateS, demand } = task.job.spec;
+  if (shape === "service") return Number.POSITIVE_INFINITY;
+  return Math.max(seconds(estimateS), LEAST_WORTH) * Math.max(1, demand.cpu);
+};
+
+interface Choice {
+  readonly victims: readonly { readonly task: Task; readonly reason: StopReason }[];
+  readonly cost: number;
+  readonly machine: Machine;
+  readonly free: Demand;
+}
+
+/** The cheapest set of tasks on this machine whose stop makes room, or null. */
+const cheapestOn = (
+  picture: Picture,
+  task: Task,
+  machine: Machine,
+  type: MachineType,
+  found: Victims,
+): Choice | null => {
+  const { now, work } = picture;
+  const { demand } = task.job.spec;
+  work.visited += machine.tasks.size;
+  const order: { task: Task; reason: StopReason; loss: number }[] = [];
+  for (const victim of machine.tasks) {
+    const reason = found.reason(victim);
+    if (reason === null || (reason === "guarantee" && endsAnyway(victim, now))) continue;
+    // A move costs no work: the replica goes on elsewhere.
+    order.push({ task: victim, reason, loss: reason === "moved" ? 0 : lossOf(victim, now) });
+  }
+  order.sort((a, b) => rankOf(b.task.job.spec) - rankOf(a.task.job.spec) || a.loss - b.loss);
+  let free = minus(type.capacity, machine.used);
+  let cost = 0;
+  const victims: { task: Task; reason: StopReason }[] = [];
+  const spared = found.tally();
+  let guarantee = false;
+  for (const { task: victim, reason, loss } of order) {
+    if (fits(demand, free)) break;
+    // Counted together: each alone may leave its team the guarantee, and several of them not.
+    if (reason === "guarantee" && !spared.take(victim)) continue;
+    guarantee ||= reason === "guarantee";
+    victims.push({ task: victim, reason });
+    free = plus(free, victim.job.spec.demand);
+    cost += loss;
+  }
+  if (victims.length === 0 || !fits(demand, free) || (guarantee && cost > worthOf(task))) return null;
+  return { victims, cost, machine, free };
+};
+
 /** Stops the cheapest set of tasks on one machine that makes room for the task, where the rules allow it. */
 function* preempt(
   picture: Picture,
@@ -134,48 +219,30 @@
   // Looks at every task that may be stopped, so it is not done for all that wait in each round.
   floor.preemptions += 1;
   const found = new Victims(picture, task, floor);
-  let best: { victims: Task[]; cost: number; machine: Machine; free: Demand } | null = null;
-  const ran = (victim: Task): number => (victim.runningSince === null ? 0 : now - victim.runningSince);
+  let best: Choice | null = null;
   for (const machine of found.machines.size === 0 ? [] : floor.machines) {
     if (!found.machines.has(machine)) continue;
     if (machine.type === null || !allows(spec, machine.typeName, machine.zone, machine.spot)) continue;
     if (!zoneAllowed(spec, counts, machine.zone)) continue;
-    const victims: Task[] = [];
-    let free = minus(machine.type.capacity, machine.used);
-    let cost = 0;
-    const order: Task[] = [];
-    picture.work.visited += machine.tasks.size;
-    for (const victim of machine.tasks) {
-      if (found.reason(victim) !== null) order.push(victim);
-    }
-    if (order.length === 0) continue;
-    order.sort((a, b) => rankOf(b.job.spec) - rankOf(a.job.spec) || ran(a) - ran(b));
-    for (const victim of order) {
-      if (fits(spec.demand, free)) break;
-      victims.push(victim);
-      free = plus(free, victim.job.spec.demand);
-      cost += ran(victim) + seconds(1);
-    }
-    if (victims.length > 0 && fits(spec.demand, free) && (best === null || cost < best.cost)) {
-      best = { victims, cost, machine, free };
-    }
+    const choice = cheapestOn(picture, task, machine, machine.type, found);
+    if (choice !== null && (best === null || choice.cost < best.cost)) best = choice;
   }
   yield { kind: "look later", task, at: (now + (best === null ? PREEMPT_RETRY : PREEMPT_PAUSE)) as Micros };
   if (best === null) return false;
   const { machine } = best;
   promised.set(machine, { free: minus(best.free, spec.demand), until: (now + PROMISE) as Micros });
   counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
-  const victims = best.victims.map((victim): Victim => {
-    const reason = found.reason(victim) ?? "outranked";
+  const victims = best.victims.map(({ task: victim, reason }): Victim => {
     const { checkpointS, saveS } = victim.job.spec;
     return {
       task: victim,
       graceS: checkpointS > 0 ? Math.ceil(saveS) : 0,
-      // Its own team is now short of its guarantee, too; without a pause it would be back before the other.
+      // Without a pause it could be back before the other has come.
       notBefore: (now + (reason === "moved" ? MOVE_PAUSE : PREEMPT_PAUSE)) as Micros,
       reason,
     };
   });
+  for (const { task: victim } of victims) floor.shares.stopped(victim);
   yield { kind: "stop", by: task, machine, victims };
   // Their room is spoken for: nothing else of this round is to count on it.
   for (const { roomy } of floor.pools) {
--- a/src/coordination/decisions/round.ts
+++ b/src/coordination/decisions/round.ts
@@ -8,6 +8,7 @@
 import type { Picture } from "./picture.js";
 import { makeRoom, type PreemptAction, type Promised } from "./preemption.js";
 import { startRun } from "./run.js";
+import { Shares } from "./shares.js";
 
 /** Why tasks of a job go on waiting after a round. */
 export type WaitReason =
@@ -25,6 +26,8 @@
   /** A gang that lost a task cannot go on. */
   | { readonly kind: "dissolve"; readonly job: Job }
   | { readonly kind: "wait"; readonly job: Job; readonly reason: WaitReason }
+  /** Work within guarantees has come to exceed all room there is, or no longer does; in thousandths of CPUs. */
+  | { readonly kind: "guarantees"; readonly short: boolean; readonly claimed: number; readonly room: number }
   | PreemptAction;
 
 /** What an action changes in the picture; records, commands and waking are for whoever carries it out. */
@@ -51,15 +54,20 @@
       return;
     }
     case "wait":
+    case "guarantees":
   }
 };
 
 /** What is kept from round to round. */
 export interface RoundMemory {
   readonly promised: Promised;
+  guaranteesShort: boolean;
 }
 
-export const newMemory = (): RoundMemory => ({ promised: new Map() });
+export const newMemory = (): RoundMemory => ({ promised: new Map(), guaranteesShort: false });
+
+/** Where it has become so, it only ends once there is clearly more room than is claimed. */
+const CLEARLY = 0.9;
 
 /** What came of a job: the first task without room, or that it may go on, or nothing to make room for. */
 type Left = Task | "more" | null;
@@ -153,9 +161,16 @@
  * and room made where the rules allow it.
  */
 export function* decideRound(picture: Picture, memory: RoundMemory): Generator<RoundAction> {
+  const shares = new Shares(picture);
   const jobs = waitingJobs(picture);
   if (jobs.length === 0) return;
-  const floor = survey(picture, jobs);
+  const floor = survey(picture, jobs, shares);
+  const room = floor.machines.reduce((sum, { type }) => sum + (type?.capacity.cpu ?? 0), 0);
+  const short = shares.claimed > room * (memory.guaranteesShort ? CLEARLY : 1);
+  if (short !== memory.guaranteesShort) {
+    memory.guaranteesShort = short;
+    yield { kind: "guarantees", short, claimed: shares.claimed, room };
+  }
   for (const job of jobs) {
     let left = yield* place(picture, job, floor);
     while (left === "more") left = yield* place(picture, job, floor);
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -25,6 +25,7 @@
       options,
       silentAfter: settings.workers.report * options.silentReports,
       firstToken: firstToken(lease),
+      guaranteesShort: this.memory.guaranteesShort,
       work: this.work,
     };
   }
@@ -52,6 +53,7 @@
           task: by.name,
           machine: machine.name,
           victims: victims.map(({ task }) => task.name),
+          reasons: victims.map(({ reason }) => reason),
         });
         this.context.wakeCommands(machine);
         return;
@@ -59,6 +61,12 @@
       case "dissolve":
         for (const { on } of action.job.placed) if (on !== null) this.context.wakeCommands(on);
         return;
+      case "guarantees":
+        log.info(action.short ? "guarantees exceed the room" : "guarantees fit again", {
+          claimedCpus: action.claimed / 1_000,
+          roomCpus: action.room / 1_000,
+        });
+        return;
       case "look later":
       case "wait":
     }
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -4,7 +4,7 @@
 import type { Machine } from "../bookkeeping/picture.js";
 import { CURRENT, jobOfKey, rangeOfKey, readJob, TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
-import type { Change } from "../protocol/state.js";
+import type { Change, Entry } from "../protocol/state.js";
 import type { Report } from "../protocol/worker.js";
 import { type Micros, ms, seconds, type Timer } from "../transport/clock.js";
 import { describeError } from "../transport/log.js";
@@ -161,11 +161,15 @@
     const { view, log } = this.services;
     const { block } = this.context;
     const ranges: { id: string; range: number; key: string }[] = [];
+    const jobs: Entry[] = [];
     for (const [key, entry] of view.entries) {
-      if (jobOfKey(key) !== null) this.jobChanged({ kind: "put", ...entry });
+      if (jobOfKey(key) !== null) jobs.push(entry);
       const range = rangeOfKey(key);
       if (range !== null) ranges.push({ ...range, key });
     }
+    // A list comes in the order of the keys, while guarantees go to whoever was accepted first.
+    jobs.sort((a, b) => (a.version < b.version ? -1 : 1));
+    for (const entry of jobs) this.jobChanged({ kind: "put", ...entry });
     ranges.sort((a, b) => a.range - b.range);
     const orphans: string[] = [];
     for (const { id, range, key } of ranges) {
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -446,6 +446,7 @@
       settings: this.settings,
       options: this.setup.options,
       silentAfter: Number.POSITIVE_INFINITY,
+      guaranteesShort: this.memory.guaranteesShort,
       firstToken: TOKEN,
       work: this.work,
     };
--- /dev/null
+++ b/test/preemption.test.ts
@@ -0,0 +1,227 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Block } from "../src/bookkeeping/block.js";
+import { newMachine } from "../src/bookkeeping/machines.js";
+import type { Job, Task } from "../src/bookkeeping/picture.js";
+import { attemptOf } from "../src/bookkeeping/tasks.js";
+import type { Picture } from "../src/coordination/decisions/picture.js";
+import { applyAction, decideRound, newMemory, type RoundAction } from "../src/coordination/decisions/round.js";
+import { MOST_ATTEMPTS } from "../src/coordination/decisions/shares.js";
+import { HostClock, World } from "../src/model/index.js";
+import { type MachineType, readTypes } from "../src/protocol/cloud.js";
+import { readSubmission } from "../src/protocol/user.js";
+import { DEFAULT_OPTIONS } from "../src/settings/options.js";
+import { parseSettings } from "../src/settings/settings.js";
+import { seconds } from "../src/transport/clock.js";
+import { settingsText } from "./fixtures.js";
+import { Random } from "./random.js";
+import { plainJob } from "./sim/cluster.js";
+
+const TYPE = readTypes({
+  flavors: [
+    {
+      sku: "big",
+      cpus: 16,
+      ramGb: 64,
+      localGb: 60,
+      pullGbPerS: 1,
+      price: 1,
+      spotPrice: 0.4,
+      bootS: 15,
+      areas: ["east"],
+    },
+  ],
+})[0] as MachineType;
+const TOKEN = 65_536;
+const team = (name: string, cpus: number, most = 0): string =>
+  `[[deployment.teams]]\nname = "${name}"\ncpus = ${cpus}.0\ncpus_max = ${most}.0\n`;
+
+/** Machines, teams and a clock, and nobody between decision and effect: a stopped task is gone a moment later. */
+class Scene {
+  readonly world = new World();
+  readonly block: Block;
+  readonly stops = new Map<string, number>();
+  private readonly settings;
+  private readonly clock;
+  private readonly memory = newMemory();
+
+  constructor(machines: number, teams: string) {
+    this.world.now = 1_000_000_000;
+    this.clock = new HostClock(this.world, 1, 0);
+    const text = settingsText(0).replace(/\[\[deployment\.teams\]\][\s\S]*?(?=\[\[deployment\.objectives)/, teams);
+    this.settings = parseSettings(text);
+    this.block = new Block(this.clock, 128, this.settings.teams, () => new Map([[TYPE.name, TYPE]]));
+    for (let at = 0; at < machines; at += 1) {
+      const machine = newMachine(`n-${at}`, "big", TYPE, "east", false, this.clock.now());
+      Object.assign(machine, { state: "up", session: 1, seenToken: TOKEN });
+      this.block.machines.set(machine.name, machine);
+    }
+  }
+
+  add(ref: string, fields: Parameters<typeof plainJob>[1]): Job {
+    return this.block.addJob(readSubmission(plainJob(ref, fields)), this.block.jobs.size + 1, false);
+  }
+
+  /** The cpus that a team has running, without what has been told to stop. */
+  staying(name: string): number {
+    let cpu = 0;
+    for (const { spec, placed } of this.block.jobs.values()) {
+      if (spec.team === name) for (const { stop } of placed) if (stop === null) cpu += spec.demand.cpu;
+    }
+    return cpu / 1_000;
+  }
+
+  /** One round; `check` sees every stop once it counts. */
+  round(check: (action: RoundAction) => void = () => undefined): void {
+    const picture: Picture = {
+      now: this.clock.now(),
+      block: this.block,
+      settings: this.settings,
+      options: DEFAULT_OPTIONS,
+      silentAfter: seconds(5),
+      guaranteesShort: this.memory.guaranteesShort,
+      firstToken: TOKEN,
+      work: { visited: 0 },
+    };
+    for (const action of decideRound(picture, this.memory)) {
+      applyAction(this.block, action);
+      if (action.kind === "stop") {
+        for (const { task } of action.victims) this.stops.set(task.name, (this.stops.get(task.name) ?? 0) + 1);
+      }
+      check(action);
+    }
+  }
+
+  /** Time passes: what was placed runs, what was stopped has gone, and what has run its time is done. */
+  pass(us: number, runUs: (task: Task) => number = () => Number.POSITIVE_INFINITY): void {
+    for (const job of this.block.jobs.values()) {
+      for (const task of [...job.placed]) {
+        if (task.stop !== null) {
+          task.want = { kind: "waiting", attempt: attemptOf(task.want) };
+          this.block.vacate(task);
+        } else if (task.runningSince === null) {
+          Object.assign(task, { launch: { kind: "seen" }, state: "running", runningSince: this.clock.now() });
+        } else if (this.clock.now() - task.runningSince >= runUs(task)) {
+          task.want = { kind: "done" };
+          this.block.vacate(task);
+          job.done += 1;
+        }
+      }
+      if (job.done === job.spec.tasks) this.block.jobs.delete(job.spec.id);
+    }
+    this.world.now += us;
+    for (const machine of this.block.machines.values()) machine.lastHeard = this.clock.now();
+  }
+}
+
+test("two teams do not take turns in stopping each other", () => {
+  // Both want more than they are guaranteed, and both guarantees together fill the room: by their present use alone,
+  // whichever was stopped last was within its guarantee again, and stopped the other's.
+  const scene = new Scene(2, team("a", 16) + team("b", 16));
+  scene.add("wk-1", { owner: "a", shards: 8, cpus: 4, guessS: 600 });
+  scene.round();
+  scene.pass(1_000_000);
+  scene.add("wk-2", { owner: "b", shards: 8, cpus: 4, guessS: 600 });
+  for (let at = 0; at < 240; at += 1) {
+    scene.round();
+    scene.pass(500_000);
+  }
+  const most = Math.max(0, ...scene.stops.values());
+  const sum = [...scene.stops.values()].reduce((total, count) => total + count, 0);
+  assert.ok(most <= 1, `stopped ${most} times`);
+  assert.ok(sum <= 4, `${sum} stops`);
+});
+
+test("a job that fits into its team's guarantee gets it, from work beyond another's", () => {
+  const scene = new Scene(2, team("a", 16) + team("b", 16));
+  scene.add("wk-1", { owner: "a", shards: 8, cpus: 4, guessS: 600 });
+  scene.round();
+  scene.pass(1_000_000);
+  const entitled = scene.add("wk-2", { owner: "b", shards: 4, cpus: 4, guessS: 600 });
+  for (let at = 0; at < 40; at += 1) {
+    scene.round();
+    assert.ok(scene.staying("a") >= 16, "below its guarantee");
+    scene.pass(500_000);
+  }
+  assert.equal(entitled.placed.size, 4);
+  assert.deepEqual([...scene.stops.values()], [1, 1, 1, 1]);
+});
+
+test("several stops at once leave the other team its guarantee", () => {
+  // One machine, and a need as large as all of it: each task alone could go, not all of them.
+  const scene = new Scene(1, team("a", 8) + team("b", 16));
+  scene.add("wk-1", { owner: "a", shards: 16, cpus: 1, guessS: 600 });
+  scene.round();
+  scene.pass(1_000_000);
+  scene.add("wk-2", { owner: "b", shards: 1, cpus: 16, guessS: 600 });
+  for (let at = 0; at < 40; at += 1) {
+    scene.round();
+    scene.pass(500_000);
+  }
+  assert.equal(scene.staying("a"), 16);
+});
+
+test("more work is not thrown away than is gained, and what is about to end is left to end", () => {
+  const scene = new Scene(1, team("a", 0) + team("b", 16));
+  scene.add("wk-1", { owner: "a", shards: 4, cpus: 4, guessS: 300 });
+  scene.round();
+  scene.pass(1_000_000);
+  scene.pass(120_000_000);
+  scene.add("wk-2", { owner: "b", shards: 1, cpus: 4, guessS: 20 });
+  for (let at = 0; at < 40; at += 1) {
+    scene.round();
+    scene.pass(500_000);
+  }
+  assert.equal(scene.stops.size, 0, "two minutes of work for 20 s");
+  const soon = new Scene(1, team("a", 0) + team("b", 16));
+  soon.add("wk-1", { owner: "a", shards: 4, cpus: 4, guessS: 12 });
+  soon.round();
+  soon.pass(1_000_000);
+  soon.add("wk-2", { owner: "b", shards: 1, cpus: 4, guessS: 60 });
+  soon.pass(10_000_000);
+  soon.round();
+  assert.equal(soon.stops.size, 0, "ends in two seconds");
+});
+
+test("guarantees that together exceed the room are not fought for", () => {
+  const luck = new Random(7);
+  const names = ["a", "b", "c", "d"];
+  const scene = new Scene(2, names.map((name) => team(name, 16, 32)).join(""));
+  let next = 0;
+  for (let at = 0; at < 600; at += 1) {
+    for (const name of names) {
+      if (!luck.chance(0.12)) continue;
+      next += 1;
+      scene.add(`wk-${next}`, { owner: name, shards: luck.int(1, 5), cpus: 4, guessS: 8 });
+    }
+    scene.round((action) => {
+      if (action.kind !== "stop") return;
+      for (const { task, reason } of action.victims) {
+        assert.ok(attemptOf(task.want) <= MOST_ATTEMPTS, "stopped once too often");
+        if (reason === "guarantee") assert.ok(scene.staying(task.job.spec.team) >= 16, "below its guarantee");
+      }
+    });
+    scene.pass(500_000, () => 8_000_000);
+  }
+  const stops = [...scene.stops.values()].reduce((sum, count) => sum + count, 0);
+  assert.ok(next > 200);
+  assert.ok(stops <= next * 0.15, `${stops} stops for ${next} jobs`);
+});
+
+test("guarantees that exceed the room are said, and served by equal shares of each", () => {
+  const scene = new Scene(1, team("a", 16) + team("b", 16));
+  const actions: RoundAction[] = [];
+  const round = (): void => scene.round((action) => actions.push(action));
+  const large = scene.add("wk-1", { owner: "a", shards: 16, cpus: 1, guessS: 600 });
+  const second = scene.add("wk-2", { owner: "b", shards: 8, cpus: 1, guessS: 600 });
+  round();
+  const said = actions.find(({ kind }) => kind === "guarantees");
+  assert.ok(said?.kind === "guarantees" && said.short && said.claimed === 24_000 && said.room === 16_000);
+  scene.pass(1_000_000);
+  // As room comes free it goes to the team that has less of its own guarantee, whoever asked first.
+  for (const task of [...large.placed].slice(0, 8)) task.stop = { graceS: 0 };
+  scene.pass(1_000_000);
+  round();
+  assert.equal(second.placed.size, 8);
+  assert.equal(actions.filter(({ kind }) => kind === "guarantees").length, 1, "said once, not in every round");
+});
