--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -38,7 +38,7 @@
       silentAfter: settings.workers.report * options.silentReports,
       firstToken: firstToken(lease),
       searches: overload.atLeast("lean") ? FEW_SEARCHES : SEARCHES,
-      records: Math.floor(committer.rate * this.aheadS()) - committer.waiting("work"),
+      records: Math.floor(committer.rate * this.aheadS()) - this.unrecorded(),
       guaranteesShort: this.memory.guaranteesShort,
       work: this.work,
     };
@@ -50,6 +50,16 @@
     return Math.min(MOST_AHEAD_S, Math.max(RECORDS_AHEAD_S, 1.5 * since));
   }
 
+  /** Ranges whose placements wait to be on record. Ends of jobs wait in the same queue, and must not keep all starts out. */
+  private unrecorded(): number {
+    let count = 0;
+    for (const { cancelled, ending, ranges } of this.context.block.jobs.values()) {
+      if (cancelled || ending) continue;
+      for (const { marked } of ranges) if (marked !== null) count += 1;
+    }
+    return count;
+  }
+
   /** For the log: what each pool holds, and what waits. */
   summary(): ReturnType<typeof summary> {
     return summary(this.picture());
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -248,6 +248,32 @@
   assert.equal(done.length, 201);
 });
 
+test("rounds place no further ahead than records can be written, whatever else waits for the same writes", () => {
+  const { block, context, recorder } = makeBlock(200);
+  const marked: string[] = [];
+  const rounds = new Rounds(
+    // Ten writes a second, and hundreds of ends of jobs waiting.
+    { ...context, committer: { rate: 10, waiting: () => 500 } } as unknown as BlockContext,
+    {
+      ...recorder,
+      mark: (range: { marked: Micros | null; job: { spec: JobSpec } }) => {
+        if (range.marked === null) marked.push(range.job.spec.id);
+        range.marked = context.clock.now();
+      },
+    } as unknown as Recorder,
+  );
+  for (let at = 0; at < 60; at += 1) block.addJob({ ...SPEC, id: `wk-${at}`, tasks: 20 }, 1, false);
+  rounds.run();
+  assert.equal(marked.length, 20, "two seconds' writes");
+  // Each of them whole: the fewer writes, the more tasks they carry.
+  assert.ok(marked.every((id) => block.jobs.get(id)?.placed.size === 20));
+  rounds.run();
+  assert.equal(marked.length, 20, "nothing more until some are written");
+  for (const id of marked.slice(0, 5)) for (const range of block.jobs.get(id)?.ranges ?? []) range.marked = null;
+  rounds.run();
+  assert.equal(marked.length, 25);
+});
+
 test("what a round looks at grows with machines and tasks, not with their product", () => {
   const { block, context, recorder } = makeBlock(1_500);
   for (let at = 0; at < 100; at += 1) {
