One place for how connections are shared out; plans no longer count what rounds alone need

Found on reading the change again: the shares of connections stood in commands/serving.ts and again in whatif/load.ts; every rental plan walked all jobs to count unrecorded ranges, which only rounds use; two tests set up the same committer.

--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -4,6 +4,7 @@
 import { Cloud } from "../coordination/cloud.js";
 import { Controller } from "../coordination/controller.js";
 import type { Load } from "../coordination/overload.js";
+import { shareConnections } from "../settings/connections.js";
 import { loadOptions } from "../settings/options.js";
 import { loadSettings, SettingsError } from "../settings/settings.js";
 import { countRequests } from "../stats.js";
@@ -15,12 +16,6 @@
 import { createLog, isDebug } from "../transport/pino-log.js";
 import { CommandError } from "./cli.js";
 
-/** Of the limit on connections; the rest is for requests of our own under way. */
-const INCOMING_SHARE = 0.82;
-/** So many are kept open; what comes beyond is answered and closed, so there is always room for whoever comes next. */
-const KEEP_SHARE = 0.66;
-const IDLE_SHARE = 0.08;
-
 export interface ServeFlags {
   readonly config?: string;
   readonly options?: string;
@@ -87,9 +82,9 @@
   process.on("unhandledRejection", (error) => log.error("unhandled rejection", { error: describeError(error) }));
   if (process.env.RAINRIDGE_END_WITH_STDIN === "1") process.stdin.on("end", () => process.exit(0)).resume();
   const clock = systemClock;
-  const { maxConnections } = settings.quota;
+  const connections = shareConnections(settings.quota.maxConnections);
   // A thousand machines report here, and idle connections to all of them as well would pass the limit.
-  const http = new NetHttpClient(clock, Math.max(16, Math.floor(maxConnections * IDLE_SHARE)));
+  const http = new NetHttpClient(clock, connections.idle);
   const sink = await sinkFor({ settings, options }, clock, log, http);
   const load = loadOf(settings, clock, () => server.connections + http.connections);
   const outside = { clock, log, http, random: Math.random, sink, load, wall: Date.now };
@@ -98,8 +93,8 @@
   const server: HttpServer = new HttpServer(
     clock,
     {
-      maxConnections: Math.max(16, Math.floor(maxConnections * INCOMING_SHARE)),
-      keepConnections: Math.max(12, Math.floor(maxConnections * KEEP_SHARE)),
+      maxConnections: connections.incoming,
+      keepConnections: connections.kept,
       requestTimeout: seconds(10),
       idleTimeout: seconds(60),
       maxBusy: 512,
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -27,9 +27,11 @@
     this.ranAt = context.clock.now();
   }
 
-  /** What is known now, for decisions. */
-  picture(): Picture {
-    const { block, clock, settings, options, lease, overload, committer } = this.context;
+  /**
+   * What is known now, for decisions. `records`: only a round uses it, and it takes a walk over all jobs, so plans do without.
+   */
+  picture(records = 0): Picture {
+    const { block, clock, settings, options, lease, overload } = this.context;
     return {
       now: clock.now(),
       block,
@@ -38,7 +40,7 @@
       silentAfter: settings.workers.report * options.silentReports,
       firstToken: firstToken(lease),
       searches: overload.atLeast("lean") ? FEW_SEARCHES : SEARCHES,
-      records: Math.floor(committer.rate * this.aheadS()) - this.unrecorded(),
+      records,
       guaranteesShort: this.memory.guaranteesShort,
       work: this.work,
     };
@@ -67,7 +69,8 @@
 
   run(): void {
     if (!this.context.lease.valid()) return;
-    const picture = this.picture();
+    const records = Math.floor(this.context.committer.rate * this.aheadS()) - this.unrecorded();
+    const picture = this.picture(records);
     this.ranAt = picture.now;
     for (const action of decideRound(picture, this.memory)) this.carryOut(action);
     this.settleWork();
--- a/src/coordination/silence-record.ts
+++ b/src/coordination/silence-record.ts
@@ -105,7 +105,8 @@
 
   /** Works off the difference between the zones wanted on record and those that may be there. */
   private work(): void {
-    const { committer, lease } = { committer: this.services.committer, lease: this.lease };
+    const { lease } = this;
+    const { committer, view, log } = this.services;
     const same = this.wanted.size === this.held.size && [...this.wanted].every((zone) => this.held.has(zone));
     if ((same && !this.renew) || this.writing || !lease.valid()) return;
     const { wanted } = this;
@@ -130,11 +131,11 @@
           return;
         }
         // One of our own writes without an answer may have been applied; a later try finds its version.
-        if (result.kind === "conflict" && (await this.services.view.sync())) {
-          this.version = this.services.view.entries.get(this.key)?.version ?? 0;
+        if (result.kind === "conflict" && (await view.sync())) {
+          this.version = view.entries.get(this.key)?.version ?? 0;
         }
       })
-      .catch((error: unknown) => this.services.log.error("silence not recorded", { error: String(error) }))
+      .catch((error: unknown) => log.error("silence not recorded", { error: String(error) }))
       .finally(() => {
         this.writing = false;
       });
--- a/src/whatif/load.ts
+++ b/src/whatif/load.ts
@@ -10,6 +10,7 @@
   type Usage,
   type Witness,
 } from "../model/index.js";
+import { shareConnections } from "../settings/connections.js";
 import { DEFAULT_OPTIONS } from "../settings/options.js";
 
 /** What bounds a controller. */
@@ -63,8 +64,6 @@
 const FILLED = 0.8;
 const BOOT = 5 * S;
 const LOOK = S / 2;
-const KEEP_SHARE = 0.66;
-const INCOMING_SHARE = 0.82;
 const MEGABYTE = 1_048_576;
 const PAGES = { shards: 8, share: 0.1 };
 
@@ -109,11 +108,11 @@
 };
 
 const boundsOf = ({ controller, bounded }: LoadSpec): Bounds => {
-  const most = Math.floor(controller.connections * INCOMING_SHARE);
+  const { incoming, kept } = shareConnections(controller.connections);
   return {
     cpuShare: controller.cpuShare,
-    maxConnections: most,
-    keepConnections: bounded ? Math.floor(controller.connections * KEEP_SHARE) : most,
+    maxConnections: incoming,
+    keepConnections: bounded ? kept : incoming,
     memoryBytes: controller.memoryMb * MEGABYTE,
     sheds: bounded,
     costs: MEASURED,
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -200,14 +200,18 @@
   assert.equal(written, 300, `${refused} refused`);
 });
 
-test("a cancellation does not wait for the submissions that came before it", async () => {
+/** Ten writes a second, five a transaction, all of which succeed. */
+const tightCommitter = () => {
   const world = new World();
-  const clock = new HostClock(world, 1, 0);
   const store = {
     budget: { requestsPerS: 100, writesPerS: 10, writesPerTransaction: 5 },
     commit: async () => ({ kind: "ok", version: 1 }),
   } as unknown as Store;
-  const committer = new Committer(store, clock, () => 0.5);
+  return { world, committer: new Committer(store, new HostClock(world, 1, 0), () => 0.5) };
+};
+
+test("a cancellation does not wait for the submissions that came before it", async () => {
+  const { world, committer } = tightCommitter();
   const done: string[] = [];
   const write = (key: string, urgency: "cancel" | "user"): void => {
     void committer.propose(new Map([[key, 0]]), [{ kind: "put", key, value: {} }], urgency).then(() => done.push(key));
@@ -220,13 +224,7 @@
 });
 
 test("a start does not wait for what has ended, unless both are in one record", async () => {
-  const world = new World();
-  const clock = new HostClock(world, 1, 0);
-  const store = {
-    budget: { requestsPerS: 100, writesPerS: 10, writesPerTransaction: 5 },
-    commit: async () => ({ kind: "ok", version: 1 }),
-  } as unknown as Store;
-  const committer = new Committer(store, clock, () => 0.5);
+  const { world, committer } = tightCommitter();
   const done: string[] = [];
   const write = (key: string, urgency: "note" | "work"): void => {
     void committer
