--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -9,30 +9,14 @@
 import { decideRental, History, type Market, Refusals } from "../src/coordination/decisions/rental.js";
 import { decideRound, newMemory, type RoundAction } from "../src/coordination/decisions/round.js";
 import { HostClock, World } from "../src/model/index.js";
-import { type MachineType, readTypes } from "../src/protocol/cloud.js";
 import { type JobSpec, readSubmission } from "../src/protocol/user.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import { parseSettings } from "../src/settings/settings.js";
 import { type Micros, seconds } from "../src/transport/clock.js";
-import { settingsText } from "./fixtures.js";
+import { bigType, settingsText } from "./fixtures.js";
 import { plainJob } from "./sim/cluster.js";
 
-const TYPES = readTypes({
-  flavors: [
-    {
-      sku: "big",
-      cpus: 16,
-      ramGb: 64,
-      localGb: 60,
-      pullGbPerS: 1,
-      price: 1,
-      spotPrice: 0.4,
-      bootS: 15,
-      areas: ["east", "west"],
-    },
-  ],
-});
-const TYPE = TYPES[0] as MachineType;
+const TYPE = bigType(["east", "west"]);
 const TOKEN = 65_536;
 
 const setUp = (machines: number) => {
--- a/test/fixtures.ts
+++ b/test/fixtures.ts
@@ -1,3 +1,23 @@
+import { type MachineType, readTypes } from "../src/protocol/cloud.js";
+
+/** A machine type of 16 CPUs, offered in these zones. */
+export const bigType = (areas: readonly string[]): MachineType =>
+  readTypes({
+    flavors: [
+      {
+        sku: "big",
+        cpus: 16,
+        ramGb: 64,
+        localGb: 60,
+        pullGbPerS: 1,
+        price: 1,
+        spotPrice: 0.4,
+        bootS: 15,
+        areas,
+      },
+    ],
+  })[0] as MachineType;
+
 /** Settings as the platform hands them over, for the controller numbered `index` of three. */
 export const settingsText = (index = 0): string => {
   const siblings = [0, 1, 2]
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -8,30 +8,15 @@
 import { applyAction, decideRound, newMemory, type RoundAction } from "../src/coordination/decisions/round.js";
 import { MOST_ATTEMPTS } from "../src/coordination/decisions/shares.js";
 import { HostClock, World } from "../src/model/index.js";
-import { type MachineType, readTypes } from "../src/protocol/cloud.js";
 import { readSubmission } from "../src/protocol/user.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import { parseSettings } from "../src/settings/settings.js";
 import { seconds } from "../src/transport/clock.js";
-import { settingsText } from "./fixtures.js";
+import { bigType, settingsText } from "./fixtures.js";
 import { Random } from "./random.js";
 import { plainJob } from "./sim/cluster.js";
 
-const TYPE = readTypes({
-  flavors: [
-    {
-      sku: "big",
-      cpus: 16,
-      ramGb: 64,
-      localGb: 60,
-      pullGbPerS: 1,
-      price: 1,
-      spotPrice: 0.4,
-      bootS: 15,
-      areas: ["east"],
-    },
-  ],
-})[0] as MachineType;
+const TYPE = bigType(["east"]);
 const TOKEN = 65_536;
 const team = (name: string, cpus: number, most = 0): string =>
   `[[deployment.teams]]\nname = "${name}"\ncpus = ${cpus}.0\ncpus_max = ${most}.0\n`;
