Graphs: definitions read, checked and compiled, and the state machine of one run

Planners describe work as graphs of dependent steps; nothing here could read one. YAML or JSON in Airflow's names becomes a plan: groups, defaults, mapping, branches and templates (expressions only) worked out, what is wrong told with line and column. DagRun holds the states of one run; they follow from the plan and from how the jobs of its steps ended, in whatever order that is learnt.

--- /dev/null
+++ b/src/graphs/description/flatten.ts
@@ -0,0 +1,153 @@
+import { type Edge, readDependencies } from "./dependencies.js";
+import type { GraphDocument, GroupDocument, TaskArgs, TaskDocument } from "./document.js";
+import type { Path, Problem } from "./problem.js";
+
+/** A task with its group's name before its own and all defaults worked in. */
+export interface FlatTask {
+  readonly id: string;
+  readonly path: Path;
+  readonly document: TaskDocument;
+  readonly args: TaskArgs;
+}
+
+export interface Flat {
+  readonly tasks: ReadonlyMap<string, FlatTask>;
+  /** Direct upstream tasks of each. */
+  readonly upstream: ReadonlyMap<string, ReadonlySet<string>>;
+}
+
+interface Wish {
+  readonly edge: Edge;
+  readonly group: string;
+  readonly path: Path;
+}
+
+interface Group {
+  readonly members: readonly string[];
+  readonly depth: number;
+}
+
+const merge = (outer: TaskArgs, inner: TaskArgs): TaskArgs => ({
+  ...outer,
+  ...inner,
+  job: { ...outer.job, ...inner.job },
+});
+
+const argsOf = (task: TaskDocument): TaskArgs => {
+  const { task_id, upstream, empty, short_circuit, branch, expand, setup, ignore_downstream_trigger_rules, ...args } =
+    task;
+  return args;
+};
+
+const MOST_DEPTH = 20;
+
+/** Takes groups and defaults apart; problems are added to the list. */
+export const flatten = (graph: GraphDocument, problems: Problem[], mostTasks: number): Flat => {
+  const tasks = new Map<string, FlatTask>();
+  const groups = new Map<string, Group>();
+  const wishes: Wish[] = [];
+  const taken = new Map<string, Path>();
+  const claim = (id: string, path: Path): boolean => {
+    const before = taken.get(id);
+    if (before === undefined) taken.set(id, path);
+    else problems.push({ path, message: `${id} is there already` });
+    return before === undefined;
+  };
+  const walk = (
+    level: GroupDocument | GraphDocument,
+    group: string,
+    path: Path,
+    outer: TaskArgs,
+  ): readonly string[] => {
+    const args = merge(outer, level.default_args ?? {});
+    const members: string[] = [];
+    const prefix = group === "" ? "" : `${group}.`;
+    if (path.length > 2 * MOST_DEPTH) {
+      problems.push({ path, message: `groups more than ${MOST_DEPTH} deep` });
+      return members;
+    }
+    for (const [at, document] of level.tasks.entries()) {
+      if (tasks.size > mostTasks) break;
+      const id = `${prefix}${document.task_id}`;
+      const here = [...path, "tasks", at];
+      if (!claim(id, [...here, "task_id"])) continue;
+      tasks.set(id, { id, path: here, document, args: merge(args, argsOf(document)) });
+      members.push(id);
+      for (const [index, from] of (document.upstream ?? []).entries()) {
+        wishes.push({ edge: { from, to: id }, group, path: [...here, "upstream", index] });
+      }
+    }
+    for (const [at, inner] of (level.task_groups ?? []).entries()) {
+      const id = `${prefix}${inner.group_id}`;
+      const here = [...path, "task_groups", at];
+      if (!claim(id, [...here, "group_id"])) continue;
+      const inside = walk(inner, id, here, args);
+      groups.set(id, { members: inside, depth: here.length });
+      members.push(...inside);
+      for (const [index, from] of (inner.upstream ?? []).entries()) {
+        wishes.push({ edge: { from, to: id }, group, path: [...here, "upstream", index] });
+      }
+    }
+    for (const [at, text] of (level.dependencies ?? []).entries()) {
+      const here = [...path, "dependencies", at];
+      const edges = readDependencies(text);
+      if (typeof edges === "string") problems.push({ path: here, message: edges });
+      else for (const edge of edges) wishes.push({ edge, group, path: here });
+    }
+    return members;
+  };
+  walk(graph, "", [], {});
+  return { tasks, upstream: link(tasks, groups, wishes, problems) };
+};
+
+/** A name is looked for in the group where it stands, then in those around it. */
+const resolve = (name: string, group: string, known: (id: string) => boolean): string | null => {
+  for (let around = group; around !== ""; around = around.slice(0, Math.max(0, around.lastIndexOf(".")))) {
+    if (known(`${around}.${name}`)) return `${around}.${name}`;
+  }
+  return known(name) ? name : null;
+};
+
+const link = (
+  tasks: ReadonlyMap<string, FlatTask>,
+  groups: ReadonlyMap<string, Group>,
+  wishes: readonly Wish[],
+  problems: Problem[],
+): ReadonlyMap<string, ReadonlySet<string>> => {
+  const upstream = new Map<string, Set<string>>([...tasks.keys()].map((id) => [id, new Set<string>()]));
+  const downstream = new Map<string, Set<string>>([...tasks.keys()].map((id) => [id, new Set<string>()]));
+  const known = (id: string): boolean => tasks.has(id) || groups.has(id);
+  const resolved: { from: string; to: string; depth: number; path: Path }[] = [];
+  for (const { edge, group, path } of wishes) {
+    const from = resolve(edge.from, group, known);
+    const to = resolve(edge.to, group, known);
+    if (from === null) problems.push({ path, message: `no task or group ${edge.from}` });
+    if (to === null) problems.push({ path, message: `no task or group ${edge.to}` });
+    if (from === null || to === null) continue;
+    const depth = Math.min(groups.get(from)?.depth ?? 1_000, groups.get(to)?.depth ?? 1_000);
+    resolved.push({ from, to, depth, path });
+  }
+  // What lies within a group decides which of its tasks are first and last: inner edges come first.
+  resolved.sort((a, b) => b.depth - a.depth);
+  const ends = (id: string, lists: ReadonlyMap<string, ReadonlySet<string>>): readonly string[] => {
+    const group = groups.get(id);
+    if (group === undefined) return [id];
+    const inside = new Set(group.members);
+    return group.members.filter((member) => {
+      for (const other of lists.get(member) ?? []) if (inside.has(other)) return false;
+      return true;
+    });
+  };
+  for (const { from, to, path } of resolved) {
+    if (from === to) problems.push({ path, message: `${from} depends on itself` });
+    else {
+      for (const a of ends(from, downstream)) {
+        for (const b of ends(to, upstream)) {
+          upstream.get(b)?.add(a);
+          downstream.get(a)?.add(b);
+        }
+      }
+    }
+  }
+  return upstream;
+};
--- /dev/null
+++ b/src/graphs/description/order.ts
@@ -0,0 +1,52 @@
+import TinyQueue from "tinyqueue";
+
+type Upstream = ReadonlyMap<string, ReadonlySet<string>>;
+
+/** Topological, and else as written; or a cycle as the path around it, the first name repeated at its end. */
+export const sortTasks = (
+  upstream: Upstream,
+):
+  | { readonly kind: "order"; readonly ids: readonly string[] }
+  | { readonly kind: "cycle"; readonly path: string[] } => {
+  const places = new Map([...upstream.keys()].map((id, at) => [id, at]));
+  const left = new Map<string, number>();
+  const downstream = new Map<string, string[]>();
+  for (const [id, ups] of upstream) {
+    left.set(id, ups.size);
+    for (const up of ups) {
+      const list = downstream.get(up);
+      if (list === undefined) downstream.set(up, [id]);
+      else list.push(id);
+    }
+  }
+  const ready = new TinyQueue<string>(
+    [...upstream.keys()].filter((id) => left.get(id) === 0),
+    (a, b) => (places.get(a) ?? 0) - (places.get(b) ?? 0),
+  );
+  const ids: string[] = [];
+  for (let id = ready.pop(); id !== undefined; id = ready.pop()) {
+    ids.push(id);
+    for (const down of downstream.get(id) ?? []) {
+      const rest = (left.get(down) ?? 0) - 1;
+      left.set(down, rest);
+      if (rest === 0) ready.push(down);
+    }
+  }
+  if (ids.length === upstream.size) return { kind: "order", ids };
+  return { kind: "cycle", path: cycleAmong(upstream, new Set(ids)) };
+};
+
+/** Every task that could not be ordered has such an upstream task: following those must come back. */
+const cycleAmong = (upstream: Upstream, ordered: ReadonlySet<string>): string[] => {
+  const start = [...upstream.keys()].find((id) => !ordered.has(id));
+  const seen = new Map<string, number>();
+  const walk: string[] = [];
+  for (let id = start; id !== undefined; ) {
+    const before = seen.get(id);
+    if (before !== undefined) return [...walk.slice(before), id].reverse();
+    seen.set(id, walk.length);
+    walk.push(id);
+    id = [...(upstream.get(id) ?? [])].find((up) => !ordered.has(up));
+  }
+  return walk;
+};
--- /dev/null
+++ b/src/graphs/description/templates.ts
@@ -0,0 +1,142 @@
+import nunjucks from "nunjucks";
+
+/** What a template may name. Every object in it is without a prototype. */
+export type Names = Readonly<Record<string, unknown>>;
+
+/** The template is not one that may be used; the message says what about it. */
+export class TemplateError extends Error {}
+
+const MOST_OUTPUT = 4_096;
+const MOST_NODES = 100;
+
+/** None of them makes more of its input than it was given. */
+const FILTERS: ReadonlySet<string> = new Set([
+  "abs",
+  "capitalize",
+  "default",
+  "first",
+  "float",
+  "int",
+  "join",
+  "last",
+  "length",
+  "lower",
+  "round",
+  "title",
+  "trim",
+  "upper",
+]);
+
+/** Expressions only: no loops, calls, assignments, macros, includes or tests. */
+const ALLOWED: ReadonlySet<string> = new Set([
+  "Root",
+  "NodeList",
+  "Output",
+  "TemplateData",
+  "Symbol",
+  "Literal",
+  "LookupVal",
+  "Filter",
+  "InlineIf",
+  "Compare",
+  "CompareOperand",
+  "Group",
+  "And",
+  "Or",
+  "Not",
+  "Neg",
+  "Add",
+  "Sub",
+  "Mul",
+  "Div",
+  "FloorDiv",
+  "Mod",
+  "Concat",
+]);
+const HIDDEN: ReadonlySet<unknown> = new Set(["constructor", "__proto__", "prototype"]);
+
+interface TemplateNode {
+  readonly typename: string;
+  readonly fields: readonly string[];
+  readonly [field: string]: unknown;
+}
+
+interface Parser {
+  parse(source: string): TemplateNode;
+}
+
+const isNode = (value: unknown): value is TemplateNode =>
+  typeof value === "object" && value !== null && typeof (value as { typename?: unknown }).typename === "string";
+
+const childrenOf = (node: TemplateNode): readonly TemplateNode[] => {
+  const own = node.fields.map((field) => node[field]);
+  const listed = Array.isArray(node.children) ? (node.children as unknown[]) : [];
+  return [...own, ...listed, ...own.flatMap((value) => (Array.isArray(value) ? (value as unknown[]) : []))].filter(
+    isNode,
+  );
+};
+
+const check = (root: TemplateNode, names: Names): void => {
+  const seen = new Set<TemplateNode>();
+  const work: { node: TemplateNode; filter: boolean }[] = [{ node: root, filter: false }];
+  for (let next = work.pop(); next !== undefined; next = work.pop()) {
+    const { node, filter } = next;
+    if (seen.has(node)) continue;
+    seen.add(node);
+    if (seen.size > MOST_NODES) throw new TemplateError("template too long");
+    const { typename } = node;
+    if (!ALLOWED.has(typename)) throw new TemplateError(`${typename.toLowerCase()} is not allowed in a template`);
+    if (typename === "Symbol") {
+      const name = String(node.value);
+      if (filter && !FILTERS.has(name)) throw new TemplateError(`no filter ${name}`);
+      if (!filter && !Object.hasOwn(names, name)) throw new TemplateError(`${name} is undefined`);
+    }
+    if (typename === "LookupVal") {
+      const key = isNode(node.val) ? node.val.value : undefined;
+      if (HIDDEN.has(key)) throw new TemplateError(`${String(key)} is not allowed in a template`);
+    }
+    for (const child of childrenOf(node))
+      work.push({ node: child, filter: typename === "Filter" && child === node.name });
+  }
+};
+
+const parser = (nunjucks as unknown as { readonly parser: Parser }).parser;
+const environment = new nunjucks.Environment(null, { autoescape: false, throwOnUndefined: true });
+
+/** Without prototypes, so that a template finds what it was given and nothing else. */
+export const bare = (value: unknown): unknown => {
+  if (Array.isArray(value)) return value.map(bare);
+  if (typeof value !== "object" || value === null) return value;
+  return Object.assign(
+    Object.create(null) as object,
+    Object.fromEntries(Object.entries(value).map(([name, inner]) => [name, bare(inner)])),
+  );
+};
+
+export const isTemplate = (text: string): boolean => /\{[{%#]/.test(text);
+
+/** Renders templates, each of them read once. */
+export class Templates {
+  private readonly known = new Map<string, nunjucks.Template>();
+
+  /** Throws `TemplateError`; an undefined name is one. */
+  render(text: string, names: Names): string {
+    if (!isTemplate(text)) return text;
+    try {
+      let template = this.known.get(text);
+      if (template === undefined) {
+        check(parser.parse(text), names);
+        template = new nunjucks.Template(text, environment, undefined, true);
+        this.known.set(text, template);
+      }
+      const output = template.render(names);
+      if (output.length > MOST_OUTPUT) throw new TemplateError(`result longer than ${MOST_OUTPUT} characters`);
+      return output;
+    } catch (error) {
+      if (error instanceof TemplateError) throw error;
+      const message = String((error as Error).message);
+      if (message.includes("null or undefined value")) throw new TemplateError(`a name in ${text} is undefined`);
+      throw new TemplateError(`malformed template: ${message.split("\n").at(-1)?.trim() ?? "unknown"}`);
+    }
+  }
+}
--- /dev/null
+++ b/src/graphs/run/rules.ts
@@ -0,0 +1,74 @@
+/** Airflow's trigger rules. */
+export const TRIGGER_RULES = [
+  "all_success",
+  "all_failed",
+  "all_done",
+  "all_done_min_one_success",
+  "all_done_setup_success",
+  "all_skipped",
+  "one_success",
+  "one_failed",
+  "one_done",
+  "none_failed",
+  "none_failed_min_one_success",
+  "none_skipped",
+  "always",
+] as const;
+export type TriggerRule = (typeof TRIGGER_RULES)[number];
+
+/** How many direct upstream steps there are, and how many of them ended how. */
+export interface Tally {
+  readonly total: number;
+  readonly success: number;
+  readonly failed: number;
+  readonly upstreamFailed: number;
+  readonly skipped: number;
+  readonly removed: number;
+  readonly setups: number;
+  readonly setupSuccess: number;
+  readonly setupSkipped: number;
+}
+
+export type Verdict = "wait" | "run" | "skipped" | "upstream_failed";
+
+/**
+ * What a rule says, as soon as nothing that is still to come can change it. Airflow decides by what it happens to see:
+ * with one upstream step skipped and another one about to fail, `all_success` skips or fails by the order of the two.
+ * Here the outcome is a function of how the upstream steps ended, so that whoever takes a run over comes to the same.
+ */
+export const judge = (rule: TriggerRule, tally: Tally): Verdict => {
+  const { total, success, skipped, removed } = tally;
+  const failed = tally.failed + tally.upstreamFailed;
+  if (total === 0) return "run";
+  const done = success + failed + skipped + removed >= total;
+  const after = (verdict: Verdict): Verdict => (done ? verdict : "wait");
+  switch (rule) {
+    case "always":
+      return "run";
+    case "all_success":
+      return failed > 0 ? "upstream_failed" : after(skipped > 0 ? "skipped" : "run");
+    case "all_failed":
+      return success + skipped > 0 ? "skipped" : after("run");
+    case "all_done":
+      return after("run");
+    case "all_done_min_one_success":
+      return after(success > 0 ? "run" : skipped >= total ? "skipped" : "upstream_failed");
+    case "all_done_setup_success":
+      if (tally.setups === 0 || tally.setupSuccess > 0) return after("run");
+      return after(tally.setupSkipped >= tally.setups ? "skipped" : "upstream_failed");
+    case "all_skipped":
+      return success + failed > 0 ? "skipped" : after("run");
+    case "one_success":
+      return success > 0 ? "run" : after(skipped >= total ? "skipped" : "upstream_failed");
+    case "one_failed":
+      return failed > 0 ? "run" : after("skipped");
+    case "one_done":
+      return success + tally.failed > 0 ? "run" : after("skipped");
+    case "none_failed":
+      return failed > 0 ? "upstream_failed" : after("run");
+    case "none_failed_min_one_success":
+      return failed > 0 ? "upstream_failed" : after(skipped >= total ? "skipped" : "run");
+    case "none_skipped":
+      return skipped > 0 ? "skipped" : after("run");
+  }
+};
--- /dev/null
+++ b/src/graphs/run/weights.ts
@@ -0,0 +1,61 @@
+import { TypedFastBitSet } from "typedfastbitset";
+import { criticalPaths, type Plan } from "./plan.js";
+
+/** Weights of the step and of all that it reaches along `next`, each once, however many ways lead there. */
+const reachSums = (plan: Plan, order: readonly number[], next: readonly (readonly number[])[]): Float64Array => {
+  const sums = new Float64Array(plan.steps.length);
+  const sets = new Map<number, TypedFastBitSet>();
+  const users = new Uint32Array(plan.steps.length);
+  for (const list of next) for (const to of list) users[to] = (users[to] ?? 0) + 1;
+  for (const at of order) {
+    const set = new TypedFastBitSet();
+    set.add(at);
+    for (const to of next[at] ?? []) {
+      const reached = sets.get(to);
+      if (reached !== undefined) set.union(reached);
+      users[to] = (users[to] ?? 1) - 1;
+      // Kept only until the last step that leads here has been seen: all of them at once are a square.
+      if (users[to] === 0) sets.delete(to);
+    }
+    let sum = 0;
+    set.forEach((reached) => {
+      sum += plan.steps[reached]?.weight ?? 0;
+    });
+    sums[at] = sum;
+    if ((users[at] ?? 0) > 0) sets.set(at, set);
+  }
+  return sums;
+};
+
+export const downstreamOf = (plan: Plan): readonly (readonly number[])[] => {
+  const lists: number[][] = plan.steps.map(() => []);
+  for (const [at, step] of plan.steps.entries()) for (const up of step.upstream) lists[up]?.push(at);
+  return lists;
+};
+
+/**
+ * Each step's place in its own graph's order: by Airflow's weight, then by the critical path. It decides between steps
+ * of one graph only, never between a step and anybody else's job.
+ */
+export const ownOrder = (plan: Plan): Uint32Array => {
+  const { steps } = plan;
+  const paths = criticalPaths(plan);
+  const weights = new Float64Array(steps.length);
+  const told = steps.some(({ weight, weightRule }) => weight !== 1 || weightRule !== "downstream");
+  if (told) {
+    const forward = steps.map((_, at) => at);
+    const upstream = steps.map((step) => step.upstream);
+    const rules = new Set(steps.map(({ weightRule }) => weightRule));
+    const below = rules.has("downstream") ? reachSums(plan, [...forward].reverse(), downstreamOf(plan)) : null;
+    const above = rules.has("upstream") ? reachSums(plan, forward, upstream) : null;
+    for (const [at, { weight, weightRule }] of steps.entries()) {
+      weights[at] =
+        (weightRule === "downstream" ? below?.[at] : weightRule === "upstream" ? above?.[at] : undefined) ?? weight;
+    }
+  }
+  const order = steps.map((_, at) => at);
+  order.sort((a, b) => (weights[b] ?? 0) - (weights[a] ?? 0) || (paths[b] ?? 0) - (paths[a] ?? 0) || a - b);
+  const places = new Uint32Array(steps.length);
+  for (const [place, at] of order.entries()) places[at] = place;
+  return places;
+};
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from "node:fs";
+import { type GraphOptions, graphOptionsSchema, readGraphOptions } from "./graph-options.js";
 import { SettingsError } from "./settings.js";
 
 /** The operators' own settings: JSON, checked against `optionsSchema`, all of them optional. */
@@ -15,6 +16,8 @@
   readonly silentReports: number;
   /** Where to keep a trace of what happens, for what-if; null: nowhere. */
   readonly record: RecordOptions | null;
+  /** Graphs of dependent steps; null: none are taken. */
+  readonly graphs: GraphOptions | null;
 }
 
 /** The newest `files` files of at most `fileMb` MB each stay in the folder. */
@@ -31,6 +34,7 @@
   idleReturnS: 15,
   silentReports: 1.5,
   record: null,
+  graphs: null,
 };
 
 export const optionsSchema = {
@@ -59,6 +63,7 @@
         },
       ],
     },
+    graphs: graphOptionsSchema,
   },
 } as const;
 
@@ -78,5 +83,5 @@
     const name = first?.params.additionalProperty ?? "";
     throw new SettingsError(`${file}: ${first?.instancePath || "/"}${name} ${first?.message ?? "invalid"}`);
   }
-  return { ...DEFAULT_OPTIONS, ...value };
+  return { ...DEFAULT_OPTIONS, ...value, graphs: readGraphOptions(value.graphs) };
 };
--- /dev/null
+++ b/test/graph-run.test.ts
@@ -0,0 +1,275 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  DagRun,
+  type FinalState,
+  firstAttempt,
+  isFinal,
+  limitsOf,
+  NO_PAST,
+  type Outcome,
+  ownOrder,
+  type Past,
+  type Plan,
+  planLimits,
+} from "../src/graphs/index.js";
+import { Random } from "../src/model/index.js";
+import { DEFAULT_GRAPHS } from "../src/settings/graph-options.js";
+import { CLASS, planOf, randomPlan, stepOf } from "./graph-fixtures.js";
+import { bruteForce } from "./graph-rules.js";
+
+const OPTIONS = { ...DEFAULT_GRAPHS, otherClasses: CLASS };
+
+interface Extra {
+  readonly past?: Past;
+  readonly onRetry?: (step: number) => void;
+  readonly frozen?: ReadonlyMap<number, FinalState>;
+  readonly clearings?: ReadonlyMap<number, number>;
+}
+
+const runOf = (plan: Plan, extra: Extra = {}): DagRun =>
+  new DagRun({
+    plan,
+    order: ownOrder(plan),
+    limits: planLimits(plan, OPTIONS),
+    frozen: extra.frozen ?? new Map(),
+    clearings: extra.clearings ?? new Map(),
+    past: extra.past ?? NO_PAST,
+    pastRun: () => "go",
+    onRetry: extra.onRetry ?? (() => undefined),
+  });
+
+const statesOf = (run: DagRun): readonly string[] => run.plan.steps.map((_, at) => run.stateOf(at));
+
+/** What is on record of jobs, as the state service would have it. */
+class Records implements Past {
+  readonly ended = new Map<string, Outcome>();
+  readonly opened = new Set<string>();
+  /** Submissions of each attempt. */
+  readonly submissions = new Map<string, number>();
+
+  outcome(step: number, attempt: number): Outcome | null {
+    return this.ended.get(`${step}.${attempt}`) ?? null;
+  }
+
+  isOpen(step: number, attempt: number): boolean {
+    return this.opened.has(`${step}.${attempt}`);
+  }
+
+  submit(step: number, attempt: number): void {
+    const key = `${step}.${attempt}`;
+    this.opened.add(key);
+    this.submissions.set(key, (this.submissions.get(key) ?? 0) + 1);
+  }
+
+  end(key: string, outcome: Outcome): void {
+    this.opened.delete(key);
+    this.ended.set(key, outcome);
+  }
+}
+
+/** Plays a run to its end in random order, taken over anew now and then; finals must not change on the way. */
+const play = (plan: Plan, random: Random, fate: (step: number, attempt: number) => Outcome): DagRun => {
+  const records = new Records();
+  const retries = new Set<number>();
+  const make = (): DagRun => {
+    retries.clear();
+    return runOf(plan, { past: records, onRetry: (step) => retries.add(step) });
+  };
+  let run = make();
+  const told = new Map<number, string>();
+  const watch = (): void => {
+    for (const [at, state] of statesOf(run).entries()) {
+      const before = told.get(at);
+      if (before !== undefined) assert.equal(state, before, `step ${at} went back`);
+      if (isFinal(state as FinalState)) told.set(at, state);
+    }
+  };
+  for (let turn = 0; run.result === null; turn += 1) {
+    assert.ok(turn < 2_000, `stuck: ${statesOf(run).join(" ")}`);
+    const luck = random.int(0, 5);
+    if (luck === 0) run = make();
+    else if (luck <= 2) {
+      const at = run.take(() => true);
+      if (at !== null) {
+        const attempt = run.nextAttempt(at);
+        records.submit(at, attempt);
+        // Taken over between the submission and its answer.
+        if (random.chance(0.1)) run = make();
+        else run.submitted(at, attempt);
+      }
+    } else if (luck === 3 && retries.size > 0) {
+      const at = random.pick([...retries]);
+      retries.delete(at);
+      run.retryDue(at);
+    } else if (records.opened.size > 0) {
+      const key = random.pick([...records.opened]);
+      const [step = 0, attempt = 0] = key.split(".").map(Number);
+      records.end(key, fate(step, attempt));
+      if (random.chance(0.1)) run = make();
+      else {
+        run.ended(step, attempt, fate(step, attempt));
+        // Told twice, as a doubled transaction is.
+        if (random.chance(0.2)) run.ended(step, attempt, fate(step, attempt));
+      }
+    }
+    watch();
+  }
+  for (const [key, count] of records.submissions) assert.equal(count, 1, `${key} submitted ${count} times`);
+  return run;
+};
+
+const fateOf =
+  (seed: number) =>
+  (step: number, attempt: number): Outcome => {
+    const luck = new Random(seed * 1_000_003 + step * 101 + attempt).int(0, 9);
+    return luck < 6 ? "done" : luck < 8 ? "error" : luck === 8 ? "timeout" : "killed";
+  };
+
+test("random runs end as Airflow's rules say, whatever the order of events and however often they are taken over", () => {
+  for (let seed = 1; seed <= 400; seed += 1) {
+    const random = new Random(seed);
+    const plan = randomPlan(random);
+    const fate = fateOf(seed);
+    const limits = planLimits(plan, OPTIONS);
+    const run = play(plan, random, fate);
+    const wanted = bruteForce(plan, fate, (at) => limits[at]?.attempts ?? 1);
+    assert.deepEqual(statesOf(run), wanted, `seed ${seed}`);
+  }
+});
+
+test("a broken rule is noticed by the checker", () => {
+  let noticed = 0;
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const plan = randomPlan(new Random(seed));
+    const broken = { ...plan, steps: plan.steps.map((step) => ({ ...step, rule: "all_done" as const })) };
+    const fate = fateOf(seed);
+    const ends = statesOf(play(broken, new Random(seed), fate));
+    if (JSON.stringify(ends) !== JSON.stringify(bruteForce(plan, fate, () => 3))) noticed += 1;
+  }
+  assert.ok(noticed > 20, `${noticed}`);
+});
+
+test("work for an event does not grow with the graph", () => {
+  const looks = (width: number): number => {
+    const steps = Array.from({ length: width }, (_, at) => [
+      stepOf({ id: `a${at}` }),
+      stepOf({ id: `b${at}`, upstream: [2 * at] }),
+    ]).flat();
+    const run = runOf(planOf(steps));
+    run.submitted(0, 1);
+    const before = run.looks;
+    run.ended(0, 1, "done");
+    return run.looks - before;
+  };
+  assert.equal(looks(10), 1);
+  assert.equal(looks(5_000), 1);
+});
+
+test("a chain of ten thousand failures is no deep recursion", () => {
+  const steps = Array.from({ length: 10_000 }, (_, at) => stepOf({ id: `s${at}`, upstream: at === 0 ? [] : [at - 1] }));
+  const run = runOf(planOf(steps));
+  run.submitted(0, 1);
+  run.ended(0, 1, "killed");
+  assert.equal(run.count("upstream_failed"), 9_999);
+  assert.equal(run.result, "failed");
+});
+
+test("a graph may ask for fewer attempts than its class has, and for longer pauses, not for more", () => {
+  const ask = (retries: number | null, delayS: number, timeoutS: number | null) =>
+    limitsOf(stepOf({ id: "s", timeoutS, retry: { retries, delayS, exponential: true, maxDelayS: 10 } }), {
+      ...CLASS,
+      timeoutS: 60,
+    });
+  assert.equal(ask(null, 0, null).attempts, 3);
+  assert.equal(ask(50, 0, null).attempts, 3);
+  assert.equal(ask(0, 0, null).attempts, 1);
+  assert.equal(ask(null, 0, 600).timeout, 60_000_000);
+  assert.equal(ask(null, 0, 6).timeout, 6_000_000);
+  assert.deepEqual(
+    [1, 2, 3, 4].map((tries) => ask(null, 0, null).delay(tries) / 1e6),
+    [1, 2, 4, 4],
+  );
+  assert.deepEqual(
+    [1, 2, 3, 4].map((tries) => ask(null, 3, null).delay(tries) / 1e6),
+    [3, 6, 10, 10],
+  );
+});
+
+test("a middle step that fails is tried again only as its class permits, and what comes after goes by its rules", () => {
+  const steps = [
+    stepOf({ id: "first" }),
+    stepOf({ id: "middle", upstream: [0] }),
+    stepOf({ id: "after", upstream: [1] }),
+    stepOf({ id: "alarm", upstream: [1], rule: "one_failed" }),
+  ];
+  const retries: number[] = [];
+  const run = runOf(planOf(steps), { onRetry: (step) => retries.push(step) });
+  const end = (at: number, outcome: Outcome): void => {
+    assert.equal(
+      run.take(() => true),
+      at,
+    );
+    const attempt = run.nextAttempt(at);
+    run.submitted(at, attempt);
+    run.ended(at, attempt, outcome);
+  };
+  end(0, "done");
+  end(1, "error");
+  assert.equal(run.stateOf(1), "up_for_retry");
+  run.retryDue(1);
+  end(1, "timeout");
+  run.retryDue(1);
+  end(1, "error");
+  assert.deepEqual(retries, [1, 1]);
+  assert.deepEqual(statesOf(run), ["success", "failed", "upstream_failed", "scheduled"]);
+});
+
+test("steps start by the graph's own order, and a full pool holds up nothing but its own", () => {
+  const steps = [stepOf({ id: "short" }), stepOf({ id: "long", pool: "gate" }), stepOf({ id: "tail", upstream: [1] })];
+  const run = runOf(planOf(steps));
+  assert.equal(
+    run.take(() => false),
+    0,
+  );
+  assert.equal(
+    run.take(() => true),
+    1,
+  );
+  const own = ownOrder(planOf([...steps, stepOf({ id: "heavy", weight: 9, weightRule: "absolute" })]));
+  assert.equal(own[3], 0);
+});
+
+test("a halted run ends once its open steps have; what never started is skipped", () => {
+  const run = runOf(planOf([stepOf({ id: "a" }), stepOf({ id: "b", upstream: [0] }), stepOf({ id: "c" })]));
+  run.submitted(0, 1);
+  run.halt();
+  assert.equal(
+    run.take(() => true),
+    null,
+  );
+  assert.equal(run.result, null);
+  run.ended(0, 1, "done");
+  run.finishHalted();
+  assert.deepEqual(statesOf(run), ["success", "skipped", "skipped"]);
+});
+
+test("a cleared step waits for the end of an attempt from before, and counts its tries anew", () => {
+  const records = new Records();
+  records.opened.add("0.1");
+  const run = runOf(planOf([stepOf({ id: "a" }), stepOf({ id: "b", upstream: [0] })]), {
+    past: records,
+    clearings: new Map([[0, 1]]),
+  });
+  assert.equal(
+    run.take(() => true),
+    null,
+  );
+  run.ended(0, 1, "aborted");
+  assert.equal(
+    run.take(() => true),
+    0,
+  );
+  assert.equal(run.nextAttempt(0), firstAttempt(1));
+  assert.equal(run.stateOf(1), "none");
+});
