--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -27,6 +27,7 @@
       spec,
       version,
       cancelled,
+      why: null,
       ranges: [],
       waiting: new Set(),
       placed: new Set(),
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -3,7 +3,7 @@
 import type { Demand, JobSpec } from "../protocol/user.js";
 import type { TaskState } from "../protocol/worker.js";
 import type { Micros } from "../transport/clock.js";
-import type { TaskRecord } from "./records.js";
+import type { EndReason, TaskRecord } from "./records.js";
 
 /** Why a machine takes no more tasks. */
 export type Drain = "returning" | "notice" | "faulty";
@@ -108,6 +108,8 @@
   readonly spec: JobSpec;
   version: Whole;
   cancelled: boolean;
+  /** Where it was not its user who cancelled it. */
+  why: EndReason | null;
   readonly ranges: Range[];
   readonly waiting: Set<Task>;
   /** Tasks that may be on a machine. */
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -1,4 +1,13 @@
-import { asArray, asObject, Malformed, readAmount, readString, readWhole, type Whole } from "../protocol/json.js";
+import {
+  asArray,
+  asObject,
+  type Fields,
+  Malformed,
+  readAmount,
+  readString,
+  readWhole,
+  type Whole,
+} from "../protocol/json.js";
 import type { JobSpec } from "../protocol/user.js";
 
 /**
@@ -57,11 +66,20 @@
   readonly spec: JobSpec;
   readonly block: number;
   readonly cancelled: boolean;
+  /** Where it was not its user who cancelled it. */
+  readonly why?: EndReason;
+  /** By task, failures that count against the attempt that this job is; kept for jobs of graphs only. */
+  readonly errors?: Readonly<Record<string, number>>;
 }
 
+/** `error`, `timeout`: the attempt was given up. `graph`: withdrawn with what it is part of. `cleared`: to be redone. */
+export const END_REASONS = ["error", "timeout", "graph", "cleared"] as const;
+export type EndReason = (typeof END_REASONS)[number];
+
 export interface EndRecord {
   readonly phase: "done" | "cancelled";
   readonly done: number;
+  readonly why?: EndReason;
 }
 
 /** By zone, the time of day (milliseconds) after which no worker there was answered. */
@@ -99,6 +117,11 @@
     return { kind: "placed", attempt, machine };
   });
 
+const whyOf = (fields: Fields): { readonly why?: EndReason } => {
+  const why = END_REASONS.find((reason) => reason === fields.why);
+  return why === undefined ? {} : { why };
+};
+
 // Written by this program alone and never edited elsewhere, so its inner shape is taken as it is.
 export const readJob = (value: unknown): JobRecord => {
   const fields = asObject(value, "job record");
@@ -106,6 +129,8 @@
     spec: asObject(fields.spec, "spec") as unknown as JobSpec,
     block: readAmount(fields, "block"),
     cancelled: fields.cancelled === true,
+    ...whyOf(fields),
+    ...(fields.errors === undefined ? {} : { errors: fields.errors as Readonly<Record<string, number>> }),
   };
 };
 
@@ -134,5 +159,6 @@
 
 export const readEnd = (value: unknown): EndRecord => {
   const fields = asObject(value, "end");
-  return { phase: readString(fields, "phase") === "done" ? "done" : "cancelled", done: readAmount(fields, "done") };
+  const phase = readString(fields, "phase") === "done" ? "done" : "cancelled";
+  return { phase, done: readAmount(fields, "done"), ...whyOf(fields) };
 };
--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -59,9 +59,7 @@
     const entries: Entry[] = [];
     let revision: Whole | null = null;
     for (let from = ""; ; ) {
-      await this.pace();
-      const query = `/kv?under=${prefix}${from === "" ? "" : `&from=${from}`}&page=500`;
-      const page = this.read(await this.call("GET", query, null), readEntries);
+      const page = await this.page(prefix, from, 500);
       if (page.kind !== "ok") return page;
       // The first page's: later pages may already show changes that a watch from here then repeats.
       revision ??= page.value.revision;
@@ -72,6 +70,17 @@
     }
   }
 
+  /** One page of the entries below the prefix, after the key `from`. */
+  async page(
+    prefix: string,
+    from: string,
+    count: number,
+  ): Promise<Reply<{ entries: readonly Entry[]; more: boolean; revision: Whole }>> {
+    await this.pace();
+    const query = `/kv?under=${prefix}${from === "" ? "" : `&from=${from}`}&page=${count}`;
+    return this.read(await this.call("GET", query, null), readEntries);
+  }
+
   async commit(conditions: ReadonlyMap<string, Whole>, writes: readonly Write[]): Promise<Committed> {
     this.requests.take(1);
     const outcome = await this.call("POST", "/txn", transactionRequest(conditions, writes));
--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -87,7 +87,9 @@
   const http = new NetHttpClient(clock, connections.idle);
   const sink = await sinkFor({ settings, options }, clock, log, http);
   const load = loadOf(settings, clock, () => server.connections + http.connections);
-  const outside = { clock, log, http, random: Math.random, sink, load, wall: Date.now };
+  // Loaded only where it is switched on.
+  const extension = options.graphs === null ? null : (await import("../graphs/index.js")).graphsWith(options.graphs);
+  const outside = { clock, log, http, random: Math.random, sink, load, wall: Date.now, extension };
   const incarnation = randomBytes(8).toString("hex");
   const controller = new Controller(outside, settings, options, incarnation);
   const server: HttpServer = new HttpServer(
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,10 +1,12 @@
 import type { Block } from "../bookkeeping/block.js";
 import type { Committer } from "../bookkeeping/committer.js";
 import type { Sink } from "../bookkeeping/events.js";
-import type { Machine } from "../bookkeeping/picture.js";
+import type { Job, Machine, Task } from "../bookkeeping/picture.js";
+import type { EndRecord } from "../bookkeeping/records.js";
 import type { Store } from "../bookkeeping/store.js";
 import type { View } from "../bookkeeping/view.js";
 import type { Whole } from "../protocol/json.js";
+import type { ExitReason } from "../protocol/worker.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
 import type { Clock, Micros } from "../transport/clock.js";
@@ -55,6 +57,10 @@
   inquire(machine: Machine): void;
   /** Not while the machine's zone is on record as not answered. */
   mayStart(machine: Machine): boolean;
+  /** The job's last word is on record. */
+  ended(job: Job, end: EndRecord): void;
+  /** A task ended badly. */
+  failed(task: Task, reason: ExitReason): void;
 }
 
 const FENCES = 65_536;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -13,6 +13,7 @@
 import { describeError, type Log } from "../transport/log.js";
 import { Cloud } from "./cloud.js";
 import type { BlockLease, Services } from "./context.js";
+import type { Extension, MakeExtension } from "./extension.js";
 import { FrontDoor } from "./front-door.js";
 import { Membership } from "./membership.js";
 import { type LoadSource, Overload } from "./overload.js";
@@ -38,6 +39,8 @@
   readonly load?: LoadSource;
   /** Told how many machines and tasks each round and plan looked at. */
   readonly spent?: (looks: number) => void;
+  /** What makes jobs of its own, where that is switched on. */
+  readonly extension?: MakeExtension | null;
 }
 
 /** One controller: what `main` and the simulated clusters of the tests both start. */
@@ -48,6 +51,7 @@
   private readonly membership: Membership;
   private readonly frontDoor: FrontDoor;
   private readonly stewards = new Map<number, Steward>();
+  private readonly extension: Extension | null;
 
   constructor(outside: Outside, settings: Settings, options: Options, incarnation: string) {
     const { clock, log, http, random } = outside;
@@ -82,6 +86,7 @@
     const own = { clock, log, http, random, wall };
     this.services = { ...own, settings, options, store, committer, view, sink, overload, spent };
     this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
+    this.extension = outside.extension?.(this.services, this.types) ?? null;
     this.membership = new Membership(this.services, incarnation, {
       taken: (lease) => this.take(lease),
       dropped: (block) => this.drop(block),
@@ -95,6 +100,7 @@
         return null;
       },
       holds: () => this.stewards.size > 0,
+      withdrawn: (spec) => this.extension?.withdrawn(spec) === true,
     });
     view.onChange((change) => {
       if (change.key === TYPES_KEY && change.kind === "put") this.learnTypes(change.value);
@@ -127,7 +133,7 @@
     if (request.target === "/hello") {
       return request.method === "POST" ? this.hello(request.body) : { status: 405, body: "{}" };
     }
-    return this.frontDoor.handle(request);
+    return this.extension?.handle(request) ?? this.frontDoor.handle(request);
   }
 
   private hello(body: string): Response {
@@ -163,6 +169,7 @@
       () => membership.drop(lease.block),
       () => membership.resign(),
       () => membership.handOver(),
+      this.extension,
     );
     this.stewards.set(lease.block, steward);
   }
--- a/src/coordination/decisions/order.ts
+++ b/src/coordination/decisions/order.ts
@@ -47,5 +47,35 @@
       a.job.seenAt - b.job.seenAt ||
       (a.job.spec.id < b.job.spec.id ? -1 : 1),
   );
-  return keyed.map((entry) => entry.job);
+  const sorted = keyed.map((entry) => entry.job);
+  if (sorted.some(({ spec }) => spec.origin !== undefined)) {
+    ownOrder(keyed, ({ rank, borrowed, fill, size, short, due, job }) =>
+      job.spec.origin === undefined ? null : [job.spec.origin.graph, rank, borrowed, fill, size, short, due].join(),
+    ).forEach(({ job }, at) => {
+      sorted[at] = job;
+    });
+  }
+  return sorted;
+};
+
+/**
+ * Steps of one graph that are equal but for their age change places among themselves, by their graph's own order. The
+ * places themselves, and with them everybody else's turn, stay as they were.
+ */
+const ownOrder = <T extends { readonly job: Job }>(sorted: readonly T[], equal: (entry: T) => string | null): T[] => {
+  const places = new Map<string, number[]>();
+  for (const [at, entry] of sorted.entries()) {
+    const key = equal(entry);
+    if (key === null) continue;
+    const known = places.get(key);
+    if (known === undefined) places.set(key, [at]);
+    else known.push(at);
+  }
+  const result = [...sorted];
+  const placeOf = ({ job }: T): number => job.spec.origin?.place ?? 0;
+  for (const own of places.values()) {
+    const steps = own.flatMap((at) => sorted[at] ?? []).sort((a, b) => placeOf(a) - placeOf(b));
+    for (const [at, step] of steps.entries()) result[own[at] ?? 0] = step;
+  }
+  return result;
 };
--- /dev/null
+++ b/src/coordination/extension.ts
@@ -0,0 +1,38 @@
+import type { EndRecord } from "../bookkeeping/records.js";
+import type { MachineType } from "../protocol/cloud.js";
+import type { Change } from "../protocol/state.js";
+import type { JobSpec } from "../protocol/user.js";
+import type { ExitReason } from "../protocol/worker.js";
+import type { Request, Response } from "../transport/http.js";
+import type { BlockContext, Services } from "./context.js";
+
+/** What an extension does while this controller holds a block. Must not throw; nothing of it is waited for. */
+export interface Holding {
+  /** Anything current has changed; called after the kernel has taken it in. */
+  changed(change: Change): void;
+  /** The job's last word is on record. */
+  ended(spec: JobSpec, end: EndRecord): void;
+  /** One of the job's tasks ended badly; it will be tried again unless somebody withdraws the job. */
+  failed(spec: JobSpec, index: number, reason: ExitReason): void;
+  stop(): void;
+}
+
+/** What the kernel lets an extension do with a block, beside writing through the committer. */
+export interface BlockDoors {
+  /** Stops every open job that `withdrawn` now speaks of: its word is on record, with no write for each job. */
+  sweepWithdrawn(ids: Iterable<string>): void;
+}
+
+/**
+ * Something beside the kernel that makes jobs of its own. Its jobs are jobs like all others; the kernel only asks it
+ * whether one of them has been withdrawn together with what it belongs to.
+ */
+export interface Extension {
+  /** Null: not one of its paths. */
+  handle(request: Request): Promise<Response> | null;
+  take(context: BlockContext, doors: BlockDoors): Holding;
+  /** By what is in this controller's view. */
+  withdrawn(spec: JobSpec): boolean;
+}
+
+export type MakeExtension = (services: Services, types: ReadonlyMap<string, MachineType>) => Extension;
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -48,6 +48,8 @@
   readonly running: (id: string) => { done: number; running: number } | null;
   /** Does this controller act for a block, so that workers report here? */
   readonly holds: () => boolean;
+  /** Withdrawn with what it is part of, though its own record does not say so. */
+  readonly withdrawn: (spec: JobSpec) => boolean;
 }
 
 /** The users' interface, the same at every controller. */
@@ -180,7 +182,8 @@
       case "ended":
         return answer(200, statusAnswer(id, found.end.phase, found.end.done, 0));
       case "current": {
-        const { spec, cancelled } = readJob(found.entry.value);
+        const { spec, ...record } = readJob(found.entry.value);
+        const cancelled = record.cancelled || this.holder.withdrawn(spec);
         const counts = this.holder.running(id) ?? this.onRecord(spec);
         const phase: JobPhase = cancelled ? "cancelled" : counts.running > 0 ? "running" : "queued";
         return answer(200, statusAnswer(id, phase, counts.done, counts.running));
@@ -214,7 +217,7 @@
         return answer(200, phaseAnswer(id, found.end.phase));
       }
       const record = readJob(entry.value);
-      if (record.cancelled) return answer(200, phaseAnswer(id, "cancelled"));
+      if (record.cancelled || this.holder.withdrawn(record.spec)) return answer(200, phaseAnswer(id, "cancelled"));
       const value: JobRecord = { ...record, cancelled: true };
       const result = await committer.propose(
         new Map([[entry.key, entry.version]]),
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -19,7 +19,7 @@
 
 export type ObserverContext = Pick<
   BlockContext,
-  "block" | "clock" | "lease" | "log" | "wakeRound" | "wakeCommands" | "sink"
+  "block" | "clock" | "lease" | "log" | "wakeRound" | "wakeCommands" | "sink" | "failed"
 >;
 
 const allSeen = (machine: Machine): boolean => {
@@ -175,6 +175,7 @@
     if (task.runningSince !== null && now - task.runningSince > RUNS_WELL) task.failures = 0;
     if (reason !== "stopped") {
       log.info("task failed", { task: task.name, machine: machine.name, reason });
+      this.context.failed(task, reason);
       task.failures += 1;
       task.notBefore = (now + backOff(task.failures - 1, RETRY_FIRST, RETRY_MOST)) as Micros;
       if (reason === "error") this.blame(machine, task, now);
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -213,7 +213,8 @@
     const here = written.slice(0, context.settings.state.transactionWrites - 2);
     const last = endKey(job.spec.id);
     const conditions = this.conditions(job).set(last, 0);
-    const record: EndRecord = { phase: done ? "done" : "cancelled", done: job.done };
+    const why = done || job.why === null ? {} : { why: job.why };
+    const record: EndRecord = { phase: done ? "done" : "cancelled", done: job.done, ...why };
     const writes: Write[] = [
       { kind: "put", key: last, value: record },
       { kind: "delete", key: jobKey(job.spec.id) },
@@ -229,6 +230,7 @@
     if (result.kind === "ok") {
       context.block.jobs.delete(job.spec.id);
       context.log.info("job ended", { job: job.spec.id, phase: record.phase });
+      context.ended(job, record);
       const left = later ? written : written.slice(here.length);
       this.sweep(left.map((range) => rangeKey(job.spec.id, range.index)));
       return;
@@ -242,6 +244,7 @@
       if (result.keys.includes(last)) {
         // An earlier try of ours, of which there was no answer, has been applied.
         context.block.jobs.delete(job.spec.id);
+        context.ended(job, record);
         return;
       }
       for (const range of here) {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,7 +1,7 @@
 import { Block } from "../bookkeeping/block.js";
 import { factsOf } from "../bookkeeping/events.js";
 import { newMachine } from "../bookkeeping/machines.js";
-import type { Machine } from "../bookkeeping/picture.js";
+import type { Job, Machine } from "../bookkeeping/picture.js";
 import { CURRENT, fullKey, jobOfKey, rangeOfKey, readJob, TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { Change, Entry } from "../protocol/state.js";
@@ -11,6 +11,7 @@
 import type { Cloud } from "./cloud.js";
 import { Commander } from "./commander.js";
 import { type BlockContext, type BlockLease, firstToken, type Services, tokenOf } from "./context.js";
+import type { Extension, Holding } from "./extension.js";
 import { Lanes } from "./lanes.js";
 import { Observer } from "./observer.js";
 import { Recorder } from "./recorder.js";
@@ -83,6 +84,8 @@
   private sayingFull = false;
   private readonly lanes: Lanes<Machine>;
   private roundGap: Micros = ROUND_GAP;
+  private holding: Holding | null = null;
+  private restored = false;
 
   constructor(
     private readonly services: Services,
@@ -92,6 +95,7 @@
     onFenced: () => void,
     onWrong: () => void,
     private readonly onDeaf: () => Promise<void>,
+    private readonly extension: Extension | null = null,
   ) {
     const { clock, settings } = services;
     const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.valueBytes / BYTES_PER_TASK)));
@@ -113,6 +117,8 @@
       wakeCommands: (machine) => this.wakeCommands(machine),
       inquire: (machine) => this.inquire(machine),
       mayStart: (machine) => this.silences.open(machine.zone),
+      ended: (job, end) => this.holding?.ended(job.spec, end),
+      failed: (task, reason) => this.holding?.failed(task.job.spec, task.index, reason),
     };
     this.recorder = new Recorder(this.context);
     this.observer = new Observer(this.context, this.recorder);
@@ -130,6 +136,12 @@
     this.silences = new Silences(services, lease, () => block.machines.values());
     this.rental.cutZones = this.silences.inheritedZones;
     this.restore();
+    this.holding =
+      this.extension?.take(this.context, {
+        sweepWithdrawn: (ids) => {
+          for (const id of ids) this.sweepWithdrawn(id);
+        },
+      }) ?? null;
     this.tick();
     this.wakeRound(ROUND_GAP);
     void this.rental.run();
@@ -137,6 +149,7 @@
 
   stop(): void {
     this.stopped = true;
+    this.holding?.stop();
     this.rental.stop();
     this.roundTimer?.cancel();
   }
@@ -225,11 +238,21 @@
     }
     this.recorder.sweep(orphans.filter((key) => key.startsWith(CURRENT)));
     for (const job of block.jobs.values()) this.recorder.finish(job);
+    this.restored = true;
     log.info("block taken", { block: this.lease.block, number: this.lease.number, jobs: block.jobs.size });
   }
 
   changed(change: Change): void {
-    if (!this.stopped && jobOfKey(change.key) !== null) this.jobChanged(change);
+    if (this.stopped) return;
+    if (jobOfKey(change.key) !== null) this.jobChanged(change);
+    this.holding?.changed(change);
+  }
+
+  private sweepWithdrawn(id: string): void {
+    const job = this.context.block.jobs.get(id);
+    if (job === undefined || job.cancelled || this.extension?.withdrawn(job.spec) !== true) return;
+    job.why = "graph";
+    this.withdraw(job);
   }
 
   private jobChanged(change: Change): void {
@@ -240,7 +263,11 @@
     if (record.block !== this.lease.block) return;
     const known = block.jobs.get(id);
     if (known === undefined) {
-      block.addJob(record.spec, change.version, record.cancelled);
+      const withdrawn = !record.cancelled && this.extension?.withdrawn(record.spec) === true;
+      const job = block.addJob(record.spec, change.version, record.cancelled || withdrawn);
+      job.why = withdrawn ? "graph" : (record.why ?? null);
+      // While this controller was restoring, whoever restores calls `finish` for all; else nobody would.
+      if (job.cancelled && this.restored) this.recorder.finish(job);
       this.rental.learn(record.spec);
       this.context.sink?.({ kind: "job seen", spec: record.spec });
       this.wakeRound(0 as Micros);
@@ -248,6 +275,12 @@
     }
     known.version = change.version;
     if (!record.cancelled || known.cancelled) return;
+    known.why = record.why ?? null;
+    this.withdraw(known);
+  }
+
+  private withdraw(known: Job): void {
+    const { id } = known.spec;
     known.cancelled = true;
     this.services.log.info("job cancelled", { job: id });
     this.context.sink?.({ kind: "job cancelled", job: id });
--- a/src/graphs/index.ts
+++ b/src/graphs/index.ts
@@ -11,3 +11,5 @@
 export { TRIGGER_RULES, type TriggerRule } from "./run/rules.js";
 export { FINALS, type FinalState, isFinal, STATES, type StepState } from "./run/states.js";
 export { downstreamOf, ownOrder } from "./run/weights.js";
+export { graphsWith } from "./service/extension.js";
+export { graphKey, isRunId, jobIdOf, jobPrefix, partsOfJobId } from "./service/records.js";
--- a/src/graphs/run/dag-run.ts
+++ b/src/graphs/run/dag-run.ts
@@ -15,7 +15,7 @@
 export const TRIES_A_CLEARING = 64;
 export const MOST_CLEARINGS = 15;
 export const firstAttempt = (clearing: number): number => clearing * TRIES_A_CLEARING + 1;
-const tryOf = (attempt: number): number => attempt % TRIES_A_CLEARING;
+export const tryOf = (attempt: number): number => attempt % TRIES_A_CLEARING;
 
 /** What is on record of a step's attempts. */
 export interface Past {
@@ -71,7 +71,7 @@
   private readonly ready = new Map<string, TinyQueue<number>>();
   private readonly waitingForPast = new Set<number>();
   /** An attempt from before a clearing has not ended yet. */
-  private readonly held = new Set<number>();
+  private readonly held = new Map<number, number>();
   private readonly tallies = new Map<StepState, number>();
   private open = 0;
   private left: number;
@@ -280,7 +280,8 @@
       return null;
     }
     this.enter(at, "scheduled");
-    if (this.openBefore(at, clearing)) this.held.add(at);
+    const before = this.openBefore(at, clearing);
+    if (before > 0) this.held.set(at, before);
     else this.offer(at);
     return null;
   }
@@ -289,11 +290,12 @@
     this.setup.onRetry(at, this.setup.limits[at]?.delay(this.tryOf(at)) ?? (0 as Micros));
   }
 
-  private openBefore(at: number, clearing: number): boolean {
+  /** The attempt from before the clearing that has not ended yet; 0: none. */
+  private openBefore(at: number, clearing: number): number {
     for (let attempt = firstAttempt(clearing) - 1; attempt > 0; attempt -= 1) {
-      if (this.setup.past.isOpen(at, attempt)) return true;
+      if (this.setup.past.isOpen(at, attempt)) return attempt;
     }
-    return false;
+    return 0;
   }
 
   private offer(at: number): void {
@@ -311,13 +313,18 @@
     return this.tryOf(at) < (this.setup.limits[at]?.attempts ?? 1) ? null : "failed";
   }
 
+  /** Attempts from before a clearing that steps wait for the end of. */
+  outdated(): Iterable<readonly [number, number]> {
+    return this.held;
+  }
+
   /** The first of the scheduled steps, by the graph's own order, whose pool has room; it is then up to the caller. */
   take(hasRoom: (pool: string) => boolean): number | null {
     if (this.halted) return null;
     const { order } = this.setup;
     let best: { queue: TinyQueue<number>; place: number } | null = null;
     for (const [pool, queue] of this.ready) {
-      const head = queue.peek();
+      const head = this.headOf(queue);
       if (head === undefined || (pool !== "" && !hasRoom(pool))) continue;
       const place = order[head] ?? 0;
       if (best === null || place < best.place) best = { queue, place };
@@ -325,10 +332,19 @@
     return best?.queue.pop() ?? null;
   }
 
+  /** Passes over steps that were found to be submitted already. */
+  private headOf(queue: TinyQueue<number>): number | undefined {
+    for (let head = queue.peek(); head !== undefined; head = queue.peek()) {
+      if (this.state[head] === CODE.scheduled) return head;
+      queue.pop();
+    }
+    return undefined;
+  }
+
   /** Whether `take` could find one, were there room in all pools. */
   get hasReady(): boolean {
     if (this.halted) return false;
-    for (const queue of this.ready.values()) if (queue.length > 0) return true;
+    for (const queue of this.ready.values()) if (this.headOf(queue) !== undefined) return true;
     return false;
   }
 
@@ -355,7 +371,7 @@
 
   /** Counted once: what is not the step's open attempt changes nothing. */
   ended(at: number, attempt: number, outcome: Outcome): void {
-    if (this.held.has(at) && attempt < this.nextAttempt(at)) {
+    if (this.held.get(at) === attempt) {
       this.held.delete(at);
       this.offer(at);
       return;
@@ -392,14 +408,13 @@
    */
   halt(): void {
     this.halted = true;
-    this.finishHalted();
   }
 
   get isHalted(): boolean {
     return this.halted;
   }
 
-  /** Once nothing is open, what never started is skipped. */
+  /** Once nothing is open or being submitted, what never started is skipped. */
   finishHalted(): void {
     if (!this.halted || this.open > 0) return;
     for (let at = 0; at < this.state.length; at += 1) if (!isFinal(this.stateOf(at))) this.enter(at, "skipped");
--- /dev/null
+++ b/src/graphs/service/door.ts
@@ -0,0 +1,546 @@
+import { gunzipSync, gzipSync } from "node:zlib";
+import { sha256 } from "@noble/hashes/sha2.js";
+import { bytesToHex } from "@noble/hashes/utils.js";
+import { Ajv } from "ajv";
+import { homeBlock } from "../../bookkeeping/records.js";
+import type { Services } from "../../coordination/context.js";
+import { neverRuns } from "../../coordination/decisions/eligibility.js";
+import type { MachineType } from "../../protocol/cloud.js";
+import { asArray, formatJson, Malformed, parseJson, type Whole } from "../../protocol/json.js";
+import type { Write } from "../../protocol/state.js";
+import type { GraphOptions } from "../../settings/graph-options.js";
+import { ms } from "../../transport/clock.js";
+import type { Request, Response } from "../../transport/http.js";
+import { describeError } from "../../transport/log.js";
+import { compile, specOf } from "../description/compile.js";
+import { readDocument } from "../description/document.js";
+import { GraphError, problemText } from "../description/problem.js";
+import { MOST_CLEARINGS, tryOf } from "../run/dag-run.js";
+import { encodePlan, type Plan } from "../run/plan.js";
+import { type FinalState, STATES, type StepState } from "../run/states.js";
+import { Glimpses, type RunStates } from "./glimpses.js";
+import { loadPlan, loadSaved } from "./loading.js";
+import {
+  type Ended,
+  endedKey,
+  endedPrefix,
+  graphKey,
+  graphOfKey,
+  type Header,
+  isRunId,
+  jobIdOf,
+  lastRunKey,
+  partKey,
+  partPrefix,
+  planKey,
+  type RunEnd,
+  readEnded,
+  readHeader,
+  readSegments,
+  segmentKey,
+  segmentSize,
+  summaryKey,
+  uploadKey,
+  writeSegments,
+} from "./records.js";
+import { closure, LARGE_RUN } from "./runner.js";
+
+const MOST_BACKLOG = ms(1_500);
+const MOST_PARTS = 256;
+/** Of a definition put together from its parts. */
+const MOST_BODY = 4 * 1_024 * 1_024;
+/** A plan up to this many characters lies in the header, and comes to all controllers with it. */
+const INLINE = 3_000;
+const STEPS_PAGE = 200;
+const RUNS_PAGE = 200;
+const TRIES = 4;
+const BUSY_S = 5;
+const FULL_S = 30;
+
+type Phase = "pending" | "running" | RunEnd;
+
+const answer = (status: number, body: unknown): Response => ({ status, body: formatJson(body) });
+const refuse = (status: number, error: string): Response => answer(status, { error });
+const comeBack = (error: string, retryAfterS = 1): Response => ({
+  status: 503,
+  body: formatJson({ error }),
+  retryAfterS,
+});
+
+interface Submission {
+  readonly ref: string;
+  readonly graph: unknown;
+  readonly params?: Readonly<Record<string, unknown>>;
+  readonly ds?: string;
+}
+
+interface Part {
+  readonly ref: string;
+  readonly part: number;
+  readonly parts: number;
+  readonly text: string;
+}
+
+const ajv = new Ajv();
+const ref = { type: "string" } as const;
+const isSubmission = ajv.compile<Submission>({
+  type: "object",
+  required: ["ref", "graph"],
+  properties: {
+    ref,
+    graph: { type: "object" },
+    params: { type: "object" },
+    ds: { type: "string", pattern: "^\\d{4}-\\d{2}-\\d{2}$" },
+  },
+});
+const isPart = ajv.compile<Part>({
+  type: "object",
+  required: ["ref", "part", "parts", "text"],
+  properties: {
+    ref,
+    part: { type: "integer", minimum: 0 },
+    parts: { type: "integer", minimum: 1, maximum: MOST_PARTS },
+    text: { type: "string" },
+  },
+});
+const isClear = ajv.compile<{ readonly step: string; readonly downstream?: boolean }>({
+  type: "object",
+  required: ["step"],
+  properties: { step: { type: "string" }, downstream: { type: "boolean" } },
+});
+
+const complaint = (validate: typeof isSubmission | typeof isPart | typeof isClear): string => {
+  const [error] = validate.errors ?? [];
+  const missing: unknown = error?.params.missingProperty;
+  if (typeof missing === "string") return `${missing}: missing`;
+  return `${error?.instancePath.slice(1).replaceAll("/", ".") || "body"}: ${error?.message ?? "invalid"}`;
+};
+
+/** Fields in one order, so that a repetition that was written anew is still the same. */
+const canonical = (value: unknown): string =>
+  JSON.stringify(value, (_, inner: unknown) => {
+    if (typeof inner === "bigint") return inner.toString();
+    if (typeof inner !== "object" || inner === null || Array.isArray(inner)) return inner;
+    return Object.fromEntries(Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1)));
+  });
+
+const digestOf = (text: string): string => bytesToHex(sha256(Buffer.from(text, "utf8"))).slice(0, 32);
+
+type Found =
+  | { readonly kind: "current"; readonly header: Header; readonly version: Whole }
+  | { readonly kind: "ended"; readonly ended: Ended; readonly version: Whole }
+  | { readonly kind: "never" }
+  | { readonly kind: "unknown" };
+
+/** The users' interface for graphs, the same at every controller. */
+export class GraphDoor {
+  private readonly glimpses: Glimpses;
+
+  constructor(
+    private readonly services: Services,
+    private readonly types: ReadonlyMap<string, MachineType>,
+    private readonly options: GraphOptions,
+    /** The run's states, where this controller holds it. */
+    private readonly live: (id: string) => RunStates | null,
+  ) {
+    this.glimpses = new Glimpses(services, options);
+  }
+
+  /** Null: not a path of graphs. */
+  handle(request: Request): Promise<Response> | null {
+    const [path = "", query = ""] = request.target.split("?");
+    if (path !== "/v2/graphs" && !path.startsWith("/v2/graphs/")) return null;
+    return this.route(request, path, new URLSearchParams(query)).catch((error: unknown) => {
+      if (error instanceof GraphError) {
+        const [first] = error.problems;
+        const more = error.problems.length > 1 ? ` (and ${error.problems.length - 1} more)` : "";
+        return refuse(400, first === undefined ? "malformed" : `${problemText(first)}${more}`.slice(0, 1_000));
+      }
+      if (error instanceof Malformed || error instanceof SyntaxError) return refuse(400, error.message);
+      throw error;
+    });
+  }
+
+  private async route(request: Request, path: string, query: URLSearchParams): Promise<Response> {
+    const { method, body } = request;
+    if (path === "/v2/graphs") {
+      if (method === "POST") return this.submit(body);
+      return method === "GET" ? this.list(query) : refuse(405, "use GET or POST");
+    }
+    const [, id = "", verb] = /^\/v2\/graphs\/([^/]+)(?:\/(abort|clear|steps))?$/.exec(path) ?? [];
+    if (!isRunId(id)) return refuse(404, "no such graph");
+    const wanted = verb === "abort" || verb === "clear" ? "POST" : "GET";
+    if (method !== wanted) return refuse(405, `use ${wanted}`);
+    if (verb === "abort") return this.abort(id);
+    if (verb === "clear") return this.clear(id, body);
+    return verb === "steps" ? this.steps(id, query) : this.status(id);
+  }
+
+  // Submission ----------------------------------------------------------------------------------------------
+
+  private async submit(body: string): Promise<Response> {
+    const value = parseJson(body);
+    if (typeof value === "object" && value !== null && "part" in value) {
+      return isPart(value) ? this.takePart(value) : refuse(400, complaint(isPart));
+    }
+    return isSubmission(value) ? this.take(value) : refuse(400, complaint(isSubmission));
+  }
+
+  /** `parts`: keys of what it was put together from. */
+  private async take(submission: Submission, parts: readonly string[] = []): Promise<Response> {
+    const { view, committer, overload } = this.services;
+    const id = submission.ref;
+    if (!isRunId(id)) return refuse(400, "ref: not a graph id like dr-night_2026-01-31");
+    if (!view.loaded || this.types.size === 0) return comeBack("machine types unknown");
+    const { graph, params = {}, ds = null } = submission;
+    const request = digestOf(canonical({ graph, params, ds }));
+    const known = await this.find(id);
+    if (known.kind !== "never") return this.repeated(id, known, request);
+    if (overload.atLeast("full")) return comeBack("overloaded", BUSY_S);
+    if (committer.backlog > MOST_BACKLOG) return comeBack("busy", BUSY_S);
+    let runs = 0;
+    for (const key of view.entries.keys()) if (graphOfKey(key) !== null) runs += 1;
+    if (runs >= this.options.mostRuns) return comeBack(`${runs} graphs are under way, which is the limit`, FULL_S);
+    const document = readDocument(graph);
+    const plan = compile(document, { id, ds: ds ?? this.today(), params }, this.options);
+    const never = this.neverRuns(plan);
+    if (never !== null) return refuse(422, never);
+    const said = await this.accept(id, plan, request, document.max_active_runs !== undefined);
+    if (said.status === 201 && parts.length > 0) void this.clearAway(id, parts);
+    return said;
+  }
+
+  private today(): string {
+    return new Date(this.services.wall?.() ?? 0).toISOString().slice(0, 10);
+  }
+
+  private neverRuns(plan: Plan): string | null {
+    const checked = new Set<number>();
+    for (const step of plan.steps) {
+      if (step.job === null || checked.has(step.job)) continue;
+      checked.add(step.job);
+      const never = neverRuns(specOf(plan, step, "wk-step"), this.services.settings, this.types);
+      if (never !== null) return `step ${step.id}: ${never}`;
+    }
+    return null;
+  }
+
+  /** What is left after a crash here is found by its marker. */
+  private async clearAway(id: string, parts: readonly string[]): Promise<void> {
+    const { committer, log } = this.services;
+    try {
+      for (const key of [...parts, uploadKey(id)]) {
+        const result = await committer.propose(new Map(), [{ kind: "delete", key }], "upkeep");
+        if (result.kind !== "ok") return;
+      }
+    } catch (error) {
+      log.error("parts not cleared away", { run: id, error: describeError(error) });
+    }
+  }
+
+  private async accept(id: string, plan: Plan, request: string, limited: boolean): Promise<Response> {
+    const { committer, settings, store } = this.services;
+    const { text, digest } = encodePlan(plan);
+    const chunk = Math.floor(settings.state.valueBytes * 0.95) - 16;
+    const inline = text.length <= Math.min(INLINE, chunk / 2);
+    const chunks = inline ? 0 : Math.ceil(text.length / chunk);
+    const conditions = new Map<string, Whole>([
+      [graphKey(id), 0],
+      [endedKey(id), 0],
+    ]);
+    const writes: Write[] = [];
+    let before: string | null = null;
+    if (plan.steps.some(({ dependsOnPast }) => dependsOnPast)) {
+      const key = lastRunKey(plan.owner, plan.dagId);
+      const last = await store.get(key);
+      if (last.kind !== "ok" && last.kind !== "missing") return comeBack("state service unavailable");
+      if (last.kind === "ok" && typeof last.value.value === "string") before = last.value.value;
+      conditions.set(key, last.kind === "ok" ? last.value.version : 0);
+      writes.push({ kind: "put", key, value: id });
+    }
+    const header: Header = {
+      digest,
+      request,
+      dag: plan.dagId,
+      owner: plan.owner,
+      block: homeBlock(plan.owner),
+      steps: plan.steps.length,
+      mostRuns: limited ? plan.maxActiveRuns : this.options.mostRuns,
+      segment: segmentSize(settings.state.valueBytes),
+      plan: inline ? { text } : { chunks },
+      acceptedMs: Math.round(this.services.wall?.() ?? 0),
+      aborted: false,
+      timedOut: false,
+      round: 0,
+      clear: null,
+      before,
+    };
+    for (let at = 0; at < chunks; at += 1) {
+      const value = text.slice(at * chunk, (at + 1) * chunk);
+      const write: Write = { kind: "put", key: planKey(id, digest, at), value };
+      const marker: Write = { kind: "put", key: uploadKey(id), value: { plan: digest, chunks } };
+      const put = await committer.propose(new Map(), at === 0 ? [marker, write] : [write], "user");
+      // The key holds the digest, so a chunk that is there already is this one.
+      if (put.kind !== "ok") return comeBack("state service unavailable");
+      // Chunks are cleared away under their marker: as long as it is this one, none has been.
+      if (at === 0) conditions.set(uploadKey(id), put.version);
+    }
+    writes.push({ kind: "put", key: graphKey(id), value: header });
+    const result = await committer.propose(conditions, writes, "user");
+    if (result.kind === "ok") return answer(201, { ref: id, phase: "pending" });
+    if (result.kind !== "conflict") return comeBack("state service unavailable");
+    const known = await this.find(id);
+    return known.kind === "never" ? comeBack("busy") : this.repeated(id, known, request);
+  }
+
+  private repeated(id: string, known: Found, request: string): Promise<Response> | Response {
+    if (known.kind === "never" || known.kind === "unknown") return comeBack("state service unavailable");
+    const header = known.kind === "current" ? known.header : known.ended.header;
+    if (header.request !== request) return refuse(409, `${id} is another graph: choose a new id`);
+    return this.tell(id, known);
+  }
+
+  /** Parts may come to any controller, in any order, and more than once; the last one makes the run. */
+  private async takePart({ ref: id, part, parts, text }: Part): Promise<Response> {
+    const { committer, store, settings, log } = this.services;
+    if (!isRunId(id)) return refuse(400, "ref: not a graph id like dr-night_2026-01-31");
+    if (part >= parts) return refuse(400, `part: must be below ${parts}`);
+    const known = await this.find(id);
+    if (known.kind === "unknown") return comeBack("state service unavailable");
+    // All parts have come, or it is another graph: the parts alone don't tell.
+    if (known.kind !== "never") return this.tell(id, known);
+    if (committer.backlog > MOST_BACKLOG) return comeBack("busy", BUSY_S);
+    const value = { parts, text: gzipSync(text).toString("base64"), digest: digestOf(text) };
+    if (value.text.length > settings.state.valueBytes - 200) return refuse(413, "text: send smaller parts");
+    const key = partKey(id, part);
+    const marker: Write = { kind: "put", key: uploadKey(id), value: { parts } };
+    const put = await committer.propose(new Map([[key, 0]]), [marker, { kind: "put", key, value }], "user");
+    if (put.kind === "refused" || put.kind === "lost") return comeBack("state service unavailable");
+    const listed = await store.list(partPrefix(id));
+    if (listed.kind !== "ok") return comeBack("state service unavailable");
+    const there = listed.value.entries.map((entry) => entry.value as typeof value);
+    const own = listed.value.entries.find((entry) => entry.key === key)?.value as typeof value | undefined;
+    if (own !== undefined && (own.digest !== value.digest || own.parts !== parts)) {
+      return refuse(409, `part ${part} of ${id} is there with other content: choose a new id`);
+    }
+    if (there.length < parts) return answer(202, { ref: id, phase: "partial", parts, have: there.length });
+    let whole = "";
+    for (const one of there) {
+      const left = MOST_BODY - whole.length;
+      if (left <= 0) return refuse(413, `more than ${MOST_BODY / 1_048_576} MiB`);
+      whole += gunzipSync(Buffer.from(one.text, "base64"), { maxOutputLength: left + 65_536 }).toString("utf8");
+    }
+    const submission = parseJson(whole);
+    if (!isSubmission(submission)) return refuse(400, complaint(isSubmission));
+    if (submission.ref !== id) return refuse(400, "ref: differs between the parts and what they hold");
+    log.info("graph complete", { run: id, parts, bytes: whole.length });
+    return this.take(
+      submission,
+      listed.value.entries.map((entry) => entry.key),
+    );
+  }
+
+  // Questions -----------------------------------------------------------------------------------------------
+
+  /** No older than the question. */
+  private async find(id: string): Promise<Found> {
+    const { view, store } = this.services;
+    if (!(await view.sync())) return { kind: "unknown" };
+    const entry = view.entries.get(graphKey(id));
+    if (entry !== undefined) return { kind: "current", header: readHeader(entry.value), version: entry.version };
+    const reply = await store.get(endedKey(id));
+    if (reply.kind === "missing") return { kind: "never" };
+    if (reply.kind !== "ok") return { kind: "unknown" };
+    return { kind: "ended", ended: readEnded(reply.value.value), version: reply.value.version };
+  }
+
+  private async status(id: string): Promise<Response> {
+    const found = await this.find(id);
+    if (found.kind === "never") return refuse(404, "no such graph");
+    if (found.kind === "unknown") return comeBack("state service unavailable");
+    return this.tell(id, found);
+  }
+
+  private async tell(id: string, found: Exclude<Found, { kind: "never" | "unknown" }>): Promise<Response> {
+    if (found.kind === "ended") {
+      const { header, phase, counts } = found.ended;
+      return answer(200, { ref: id, phase, dag_id: header.dag, owner: header.owner, steps: header.steps, counts });
+    }
+    const { header } = found;
+    const counts = await this.counts(id, header);
+    if (counts === null) return comeBack("state service unavailable");
+    const begun = Object.keys(counts).some((state) => state !== "none" && state !== "scheduled");
+    const phase: Phase = header.aborted ? "withdrawn" : begun ? "running" : "pending";
+    return answer(200, { ref: id, phase, dag_id: header.dag, owner: header.owner, steps: header.steps, counts });
+  }
+
+  private async counts(id: string, header: Header): Promise<Readonly<Record<string, number>> | null> {
+    const live = this.live(id);
+    const summary = this.services.view.entries.get(summaryKey(id));
+    if (live === null && header.steps >= LARGE_RUN) {
+      const numbers = summary === undefined ? [header.steps] : asArray(summary.value, "summary").map(Number);
+      return Object.fromEntries(
+        STATES.flatMap((state, at) => ((numbers[at] ?? 0) > 0 ? [[state, numbers[at] ?? 0]] : [])),
+      );
+    }
+    const states = live ?? (await this.glimpses.look(id, header));
+    if (states === null) return null;
+    return Object.fromEntries(
+      STATES.flatMap((state) => (states.count(state) > 0 ? [[state, states.count(state)]] : [])),
+    );
+  }
+
+  private async steps(id: string, query: URLSearchParams): Promise<Response> {
+    const from = Number(query.get("from") ?? 0);
+    if (!Number.isInteger(from) || from < 0) return refuse(400, "from: not a step's number");
+    const found = await this.find(id);
+    if (found.kind === "never") return refuse(404, "no such graph");
+    if (found.kind === "unknown") return comeBack("state service unavailable");
+    const header = found.kind === "current" ? found.header : found.ended.header;
+    const states = found.kind === "current" ? (this.live(id) ?? (await this.glimpses.look(id, header))) : null;
+    const ended = found.kind === "ended" ? await this.endedStates(id, found.ended) : null;
+    if (states === null && ended === null) return comeBack("state service unavailable");
+    const plan = states?.plan ?? ended?.plan;
+    const page = (plan?.steps ?? []).slice(from, from + STEPS_PAGE).map((step, index) => {
+      const at = from + index;
+      const state: StepState = states?.stateOf(at) ?? ended?.finals.get(at) ?? "none";
+      const attempt = states?.attemptOf(at) ?? 0;
+      const job = attempt === 0 ? {} : { try: tryOf(attempt), job: jobIdOf(id, header.digest, at, attempt) };
+      return { n: at, step: step.id, state, ...job };
+    });
+    const next = from + STEPS_PAGE < header.steps ? from + STEPS_PAGE : null;
+    return answer(200, { ref: id, steps: page, next });
+  }
+
+  private async endedStates(
+    id: string,
+    { header, states }: Ended,
+  ): Promise<{ plan: Plan; finals: ReadonlyMap<number, FinalState>; clearings: ReadonlyMap<number, number> } | null> {
+    const { store } = this.services;
+    const plan = await loadPlan(store, id, header);
+    const saved = states === null ? await loadSaved(store, id, header) : readSegments(header.segment, [states]);
+    return plan === null || saved === null ? null : { plan, ...saved };
+  }
+
+  private async list(query: URLSearchParams): Promise<Response> {
+    const { view, store } = this.services;
+    if (!(await view.sync())) return comeBack("state service unavailable");
+    const from = query.get("from") ?? "";
+    if (from !== "" && !isRunId(from)) return refuse(400, "from: not a graph id");
+    if (query.get("state") === "ended") {
+      const reply = await store.page(endedPrefix, from === "" ? "" : endedKey(from), RUNS_PAGE);
+      if (reply.kind !== "ok") return comeBack("state service unavailable");
+      const graphs = reply.value.entries.map((entry) => {
+        const { header, phase } = readEnded(entry.value);
+        return { ref: entry.key.slice(endedPrefix.length), phase, dag_id: header.dag, owner: header.owner };
+      });
+      return answer(200, { graphs, next: reply.value.more ? (graphs.at(-1)?.ref ?? null) : null });
+    }
+    const ids = [...view.entries.keys()].flatMap((key) => graphOfKey(key) ?? []).sort();
+    const page = ids.filter((id) => id > from).slice(0, RUNS_PAGE);
+    const graphs = page.map((id) => {
+      const { dag, owner, aborted, steps } = readHeader(view.entries.get(graphKey(id))?.value);
+      return { ref: id, phase: aborted ? "withdrawn" : "current", dag_id: dag, owner, steps };
+    });
+    const last = page.at(-1);
+    return answer(200, { graphs, next: last !== undefined && last !== ids.at(-1) ? last : null });
+  }
+
+  // Abort and clearing --------------------------------------------------------------------------------------
+
+  private async abort(id: string): Promise<Response> {
+    const { committer } = this.services;
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const found = await this.find(id);
+      if (found.kind === "never") return refuse(404, "no such graph");
+      if (found.kind === "unknown") return comeBack("state service unavailable");
+      if (found.kind === "ended") return answer(200, { ref: id, phase: found.ended.phase });
+      if (found.header.aborted) return answer(200, { ref: id, phase: "withdrawn" });
+      const value: Header = { ...found.header, aborted: true, clear: null };
+      const result = await committer.propose(
+        new Map([[graphKey(id), found.version]]),
+        [{ kind: "put", key: graphKey(id), value }],
+        "cancel",
+      );
+      if (result.kind === "ok") return answer(200, { ref: id, phase: "withdrawn" });
+      if (result.kind !== "conflict") return comeBack("state service unavailable");
+    }
+    return comeBack("busy");
+  }
+
+  private async clear(id: string, body: string): Promise<Response> {
+    const value = parseJson(body);
+    if (!isClear(value)) return refuse(400, complaint(isClear));
+    const { step, downstream = true } = value;
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const found = await this.find(id);
+      if (found.kind === "never") return refuse(404, "no such graph");
+      if (found.kind === "unknown") return comeBack("state service unavailable");
+      const header = found.kind === "current" ? found.header : found.ended.header;
+      if (header.aborted) return refuse(409, `${id} was withdrawn`);
+      if (header.round >= MOST_CLEARINGS) return refuse(409, `${id} was cleared ${MOST_CLEARINGS} times: run it anew`);
+      if (header.clear !== null) return comeBack("an earlier clearing is under way");
+      const plan = await loadPlan(this.services.store, id, header);
+      if (plan === null) return comeBack("state service unavailable");
+      // A mapped task's name stands for all of its steps.
+      const steps = plan.steps.flatMap((one, at) => (one.id === step || one.id.startsWith(`${step}[`) ? [at] : []));
+      if (steps.length === 0) return refuse(404, `no step ${step}`);
+      const done =
+        found.kind === "current"
+          ? await this.clearCurrent(id, found, { steps, downstream })
+          : await this.clearEnded(id, found, plan, { steps, downstream });
+      if (done !== null) return done;
+    }
+    return comeBack("busy");
+  }
+
+  /** Put on record here; its holder carries it out, since it knows what is under way. */
+  private async clearCurrent(
+    id: string,
+    { header, version }: Extract<Found, { kind: "current" }>,
+    clear: Header["clear"],
+  ): Promise<Response | null> {
+    const value: Header = { ...header, clear };
+    const result = await this.services.committer.propose(
+      new Map([[graphKey(id), version]]),
+      [{ kind: "put", key: graphKey(id), value }],
+      "user",
+    );
+    if (result.kind === "ok") return answer(200, { ref: id, phase: "running" });
+    return result.kind === "conflict" ? null : comeBack("state service unavailable");
+  }
+
+  /** Nothing is under way, so it is carried out at once: the run goes on from what is not cleared. */
+  private async clearEnded(
+    id: string,
+    { ended, version }: Extract<Found, { kind: "ended" }>,
+    plan: Plan,
+    clear: NonNullable<Header["clear"]>,
+  ): Promise<Response | null> {
+    const states = await this.endedStates(id, ended);
+    if (states === null) return comeBack("state service unavailable");
+    const { header } = ended;
+    const cleared = closure(plan, clear);
+    const round = header.round + 1;
+    const clearings = new Map(states.clearings);
+    for (const at of cleared) clearings.set(at, round);
+    const finals = [...states.finals].filter(([at]) => !cleared.has(at));
+    const acceptedMs = Math.round(this.services.wall?.() ?? 0);
+    const next: Header = { ...header, round, clear: null, timedOut: false, acceptedMs };
+    const segments = writeSegments(header.steps, header.segment, finals, clearings);
+    const result = await this.services.committer.propose(
+      new Map<string, Whole>([
+        [endedKey(id), version],
+        [graphKey(id), 0],
+      ]),
+      [
+        { kind: "delete", key: endedKey(id) },
+        { kind: "put", key: graphKey(id), value: next },
+        ...segments.map((value, at): Write => ({ kind: "put", key: segmentKey(id, at), value })),
+      ],
+      "user",
+    );
+    if (result.kind === "ok") return answer(200, { ref: id, phase: "running" });
+    return result.kind === "conflict" ? null : comeBack("state service unavailable");
+  }
+}
--- /dev/null
+++ b/src/graphs/service/extension.ts
@@ -0,0 +1,60 @@
+import type { BlockContext, Services } from "../../coordination/context.js";
+import type { BlockDoors, Extension, Holding, MakeExtension } from "../../coordination/extension.js";
+import type { MachineType } from "../../protocol/cloud.js";
+import type { JobSpec } from "../../protocol/user.js";
+import type { GraphOptions } from "../../settings/graph-options.js";
+import type { Request, Response } from "../../transport/http.js";
+import { GraphDoor } from "./door.js";
+import { graphKey, readHeader } from "./records.js";
+import { Runner } from "./runner.js";
+
+/** Graphs beside the kernel of one controller. */
+class Graphs implements Extension {
+  private readonly runners = new Set<Runner>();
+  private readonly door: GraphDoor;
+
+  constructor(
+    private readonly services: Services,
+    types: ReadonlyMap<string, MachineType>,
+    private readonly options: GraphOptions,
+  ) {
+    this.door = new GraphDoor(services, types, options, (id) => {
+      for (const runner of this.runners) {
+        const states = runner.stateOf(id);
+        if (states !== null) return states;
+      }
+      return null;
+    });
+  }
+
+  handle(request: Request): Promise<Response> | null {
+    return this.door.handle(request);
+  }
+
+  take(context: BlockContext, doors: BlockDoors): Holding {
+    const runner = new Runner(context, doors, this.options);
+    this.runners.add(runner);
+    return {
+      changed: (change) => runner.changed(change),
+      ended: (spec, end) => runner.ended(spec, end),
+      failed: (spec, index, reason) => runner.failed(spec, index, reason),
+      stop: () => {
+        runner.stop();
+        this.runners.delete(runner);
+      },
+    };
+  }
+
+  withdrawn(spec: JobSpec): boolean {
+    if (spec.origin === undefined) return false;
+    const entry = this.services.view.entries.get(graphKey(spec.origin.graph));
+    if (entry === undefined) return false;
+    const { aborted, timedOut } = readHeader(entry.value);
+    return aborted || timedOut;
+  }
+}
+
+export const graphsWith =
+  (options: GraphOptions): MakeExtension =>
+  (services, types) =>
+    new Graphs(services, types, options);
--- /dev/null
+++ b/src/graphs/service/glimpses.ts
@@ -0,0 +1,71 @@
+import type { Services } from "../../coordination/context.js";
+import type { GraphOptions } from "../../settings/graph-options.js";
+import { type Micros, seconds } from "../../transport/clock.js";
+import { DagRun } from "../run/dag-run.js";
+import type { Plan } from "../run/plan.js";
+import { planLimits } from "../run/retry.js";
+import { loadRun, pastOf } from "./loading.js";
+import type { Header } from "./records.js";
+
+/** What a question about a run needs of it. */
+export type RunStates = Pick<DagRun, "plan" | "stateOf" | "attemptOf" | "count">;
+
+const KEPT = 8;
+/** Questions within this time share one look; states may lag by three seconds. */
+const FRESH = seconds(1.5);
+
+interface Glimpse {
+  readonly at: Micros;
+  readonly round: number;
+  readonly plan: Plan;
+  readonly states: RunStates;
+}
+
+/** Runs as they stand by the records, for a controller that does not hold them. */
+export class Glimpses {
+  private readonly kept = new Map<string, Glimpse>();
+  private readonly looking = new Map<string, Promise<RunStates | null>>();
+
+  constructor(
+    private readonly services: Pick<Services, "store" | "view" | "clock">,
+    private readonly options: GraphOptions,
+  ) {}
+
+  /** Null where the state service did not answer. */
+  look(id: string, header: Header): Promise<RunStates | null> {
+    const known = this.kept.get(id);
+    const { clock } = this.services;
+    if (known !== undefined && known.round === header.round && clock.now() - known.at < FRESH) {
+      return Promise.resolve(known.states);
+    }
+    const under = this.looking.get(id);
+    if (under !== undefined) return under;
+    const look = this.read(id, header, known?.plan ?? null).finally(() => this.looking.delete(id));
+    this.looking.set(id, look);
+    return look;
+  }
+
+  private async read(id: string, header: Header, known: Plan | null): Promise<RunStates | null> {
+    const { store, view, clock } = this.services;
+    const at = clock.now();
+    const loaded = await loadRun(store, id, header, known);
+    if (loaded === null) return null;
+    const { plan, saved, ended } = loaded;
+    const states = new DagRun({
+      plan,
+      order: new Uint32Array(plan.steps.length),
+      limits: planLimits(plan, this.options),
+      frozen: saved.finals,
+      clearings: saved.clearings,
+      past: pastOf(id, header, ended, (key) => view.entries.has(key)),
+      // Whether an earlier run holds a step up is its holder's to know: here it is shown as about to start.
+      pastRun: () => "go",
+      onRetry: () => undefined,
+    });
+    this.kept.delete(id);
+    this.kept.set(id, { at, round: header.round, plan, states });
+    const oldest = this.kept.keys().next().value;
+    if (this.kept.size > KEPT && oldest !== undefined) this.kept.delete(oldest);
+    return states;
+  }
+}
--- /dev/null
+++ b/src/graphs/service/job-notes.ts
@@ -0,0 +1,93 @@
+import { type EndReason, type JobRecord, jobKey, readJob } from "../../bookkeeping/records.js";
+import type { BlockContext } from "../../coordination/context.js";
+import { ms } from "../../transport/clock.js";
+import { describeError } from "../../transport/log.js";
+
+interface Wish {
+  /** Failures by task. */
+  errors: Readonly<Record<string, number>>;
+  why: EndReason | null;
+  writing: boolean;
+}
+
+/**
+ * Brings what is wanted of steps' jobs on their records: failures that count, and the word that an attempt is given up.
+ * They are on record with the job itself, so that whoever takes the block over goes on counting.
+ */
+export class JobNotes {
+  private readonly wishes = new Map<string, Wish>();
+  private stopped = false;
+
+  constructor(private readonly context: Pick<BlockContext, "committer" | "view" | "lease" | "clock" | "log">) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Counts a failure; returns how many of this task there have been. */
+  count(job: string, index: number): number {
+    const wish = this.wish(job);
+    const count = (wish.errors[index] ?? 0) + 1;
+    wish.errors = { ...wish.errors, [index]: count };
+    this.write(job, wish);
+    return count;
+  }
+
+  giveUp(job: string, why: EndReason): void {
+    const wish = this.wish(job);
+    if (wish.why !== null) return;
+    wish.why = why;
+    this.write(job, wish);
+  }
+
+  /** The job has ended: nothing is wanted of it any more. */
+  forget(job: string): void {
+    this.wishes.delete(job);
+  }
+
+  private wish(job: string): Wish {
+    const known = this.wishes.get(job);
+    if (known !== undefined) return known;
+    const entry = this.context.view.entries.get(jobKey(job));
+    const wish: Wish = {
+      errors: entry === undefined ? {} : (readJob(entry.value).errors ?? {}),
+      why: null,
+      writing: false,
+    };
+    this.wishes.set(job, wish);
+    return wish;
+  }
+
+  private write(job: string, wish: Wish): void {
+    if (wish.writing || this.stopped) return;
+    wish.writing = true;
+    this.bring(job, wish)
+      .catch((error: unknown) => {
+        this.context.log.error("note on a job failed", { error: describeError(error) });
+        return true;
+      })
+      .then((settled) => {
+        wish.writing = false;
+        if (!settled) this.context.clock.after(ms(100), () => this.write(job, wish));
+      }, undefined);
+  }
+
+  /** True once the record says what is wanted, or can't any more. */
+  private async bring(job: string, wish: Wish): Promise<boolean> {
+    const { committer, view, lease } = this.context;
+    const entry = view.entries.get(jobKey(job));
+    if (entry === undefined || this.wishes.get(job) !== wish || this.stopped) return true;
+    const record = readJob(entry.value);
+    if (record.cancelled) return true;
+    const { errors, why } = wish;
+    const value: JobRecord = { ...record, errors, ...(why === null ? {} : { cancelled: true, why }) };
+    const conditions = new Map([
+      [lease.key, lease.version],
+      [entry.key, entry.version],
+    ]);
+    const urgency = why === null ? "note" : "cancel";
+    const result = await committer.propose(conditions, [{ kind: "put", key: entry.key, value }], urgency);
+    await view.sync();
+    return result.kind === "ok" && wish.errors === errors && wish.why === why;
+  }
+}
--- /dev/null
+++ b/src/graphs/service/loading.ts
@@ -0,0 +1,77 @@
+import { endKey, jobKey, readEnd } from "../../bookkeeping/records.js";
+import type { Store } from "../../bookkeeping/store.js";
+import type { Outcome, Past } from "../run/dag-run.js";
+import { decodePlan, type Plan } from "../run/plan.js";
+import {
+  type Header,
+  jobIdOf,
+  jobPrefix,
+  outcomeOf,
+  planKey,
+  readSegment,
+  readSegments,
+  type Saved,
+  segmentPrefix,
+} from "./records.js";
+
+/** All that is on record of a run, beside its header and its open jobs. */
+export interface Loaded {
+  readonly plan: Plan;
+  readonly saved: Saved;
+  /** By job id. */
+  readonly ended: Map<string, Outcome>;
+}
+
+const NOTHING_SAVED = (): Saved => ({ finals: new Map(), clearings: new Map() });
+
+export const loadPlan = async (store: Store, id: string, header: Header): Promise<Plan | null> => {
+  if ("text" in header.plan) return decodePlan(header.plan.text);
+  let text = "";
+  for (let chunk = 0; chunk < header.plan.chunks; chunk += 1) {
+    const reply = await store.get(planKey(id, header.digest, chunk));
+    if (reply.kind !== "ok" || typeof reply.value.value !== "string") return null;
+    text += reply.value.value;
+  }
+  return decodePlan(text);
+};
+
+export const loadSaved = async (store: Store, id: string, header: Header): Promise<Saved | null> => {
+  const reply = await store.list(segmentPrefix(id));
+  if (reply.kind !== "ok") return null;
+  const segments: ReturnType<typeof readSegment>[] = [];
+  for (const { key, value } of reply.value.entries) {
+    segments[Number(key.slice(segmentPrefix(id).length))] = readSegment(value);
+  }
+  return readSegments(header.segment, segments);
+};
+
+/** Null where the state service did not answer. One request for a small run that was never cleared. */
+export const loadRun = async (store: Store, id: string, header: Header, known: Plan | null): Promise<Loaded | null> => {
+  const plan = known ?? (await loadPlan(store, id, header));
+  if (plan === null) return null;
+  const saved = header.round === 0 ? NOTHING_SAVED() : await loadSaved(store, id, header);
+  if (saved === null) return null;
+  const prefix = endKey(jobPrefix(id, header.digest));
+  const reply = await store.list(prefix);
+  if (reply.kind !== "ok") return null;
+  const ended = new Map<string, Outcome>();
+  for (const { key, value } of reply.value.entries) ended.set(key.slice(endKey("").length), outcomeOf(readEnd(value)));
+  return { plan, saved, ended };
+};
+
+/** What the run's jobs on record say. `isCurrent`: by the view, the job has not ended. */
+export const pastOf = (
+  id: string,
+  header: Header,
+  ended: ReadonlyMap<string, Outcome>,
+  isCurrent: (key: string) => boolean,
+): Past => {
+  const jobOf = (step: number, attempt: number): string => jobIdOf(id, header.digest, step, attempt);
+  return {
+    outcome: (step, attempt) => ended.get(jobOf(step, attempt)) ?? null,
+    isOpen: (step, attempt) => {
+      const job = jobOf(step, attempt);
+      return !ended.has(job) && isCurrent(jobKey(job));
+    },
+  };
+};
--- /dev/null
+++ b/src/graphs/service/runner.ts
@@ -0,0 +1,773 @@
+import { endKey, homeBlock, type JobRecord, jobKey, jobOfKey, readEnd, readJob } from "../../bookkeeping/records.js";
+import type { BlockContext } from "../../coordination/context.js";
+import type { BlockDoors, Holding } from "../../coordination/extension.js";
+import type { Whole } from "../../protocol/json.js";
+import type { Change, Write } from "../../protocol/state.js";
+import type { JobSpec } from "../../protocol/user.js";
+import type { ExitReason } from "../../protocol/worker.js";
+import type { GraphOptions } from "../../settings/graph-options.js";
+import { type Micros, ms, seconds } from "../../transport/clock.js";
+import { describeError } from "../../transport/log.js";
+import { specOf } from "../description/compile.js";
+import { DagRun, MOST_CLEARINGS, type PastRun } from "../run/dag-run.js";
+import type { Plan, Step } from "../run/plan.js";
+import { type Limits, planLimits } from "../run/retry.js";
+import { isOpen, STATES } from "../run/states.js";
+import { downstreamOf, ownOrder } from "../run/weights.js";
+import { JobNotes } from "./job-notes.js";
+import { type Loaded, loadRun, pastOf } from "./loading.js";
+import { PastRuns } from "./past-runs.js";
+import {
+  type Clear,
+  endedKey,
+  graphKey,
+  graphOfKey,
+  type Header,
+  jobIdOf,
+  outcomeOf,
+  partsOfJobId,
+  type RunEnd,
+  readHeader,
+  segmentKey,
+  summaryKey,
+  writeSegments,
+} from "./records.js";
+import { Uploads } from "./uploads.js";
+
+const TICK = ms(500);
+/** Submissions under way at once, as a multiple of what one transaction takes. */
+const IN_FLIGHT = 2;
+const LOADING = 4;
+const RETRY = ms(300);
+/** Larger runs have their counts on record for the controllers that do not hold them. */
+export const LARGE_RUN = 500;
+const SUMMARY_PERIOD = seconds(3);
+
+interface LiveRun {
+  readonly id: string;
+  header: Header;
+  version: Whole;
+  /** May have steps under way: not more than `max_active_runs` of its DAG may. */
+  active: boolean;
+  loading: boolean;
+  loaded: Loaded | null;
+  engine: DagRun | null;
+  limits: readonly Limits[];
+  order: Uint32Array;
+  /** Jobs of open steps. */
+  readonly open: Map<number, string>;
+  /** Steps whose job is being submitted. */
+  readonly starting: Set<number>;
+  /** Steps that hold a slot of a pool. */
+  readonly pooled: Map<number, string>;
+  /** Running time of the present attempt, where that is limited. */
+  readonly spent: Map<number, Micros>;
+  timed: boolean;
+  writing: boolean;
+  settling: boolean;
+  /** What has ended while the run was being loaded. */
+  late: (() => void)[];
+  summed: string;
+  summedAt: Micros;
+  readonly seenAt: Micros;
+}
+
+const dagOf = ({ owner, dag }: Header): string => JSON.stringify([owner, dag]);
+
+/** Takes the runs of a block forward for as long as this process holds the block. */
+export class Runner implements Holding {
+  private readonly runs = new Map<string, LiveRun>();
+  private readonly dags = new Map<string, Set<LiveRun>>();
+  private readonly poolUse = new Map<string, number>();
+  /** Runs with steps to submit, each in turn. */
+  private readonly ring = new Set<LiveRun>();
+  private readonly toLoad = new Set<LiveRun>();
+  private readonly notes: JobNotes;
+  private readonly uploads: Uploads;
+  private readonly past: PastRuns;
+  private loadingCount = 0;
+  private inFlight = 0;
+  private stopped = false;
+  private tickedAt: Micros;
+
+  constructor(
+    private readonly context: BlockContext,
+    private readonly doors: BlockDoors,
+    private readonly options: GraphOptions,
+  ) {
+    this.notes = new JobNotes(context);
+    this.uploads = new Uploads(context);
+    this.past = new PastRuns(
+      context.store,
+      (id) => this.runs.get(id)?.engine ?? null,
+      (id) => this.runs.has(id),
+    );
+    this.tickedAt = context.clock.now();
+    for (const [key, entry] of context.view.entries) {
+      const id = graphOfKey(key);
+      if (id !== null) this.seen(id, entry.value, entry.version);
+    }
+    if (this.runs.size > 0) context.log.info("runs taken", { runs: this.runs.size });
+    this.tick();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.notes.stop();
+  }
+
+  get size(): number {
+    return this.runs.size;
+  }
+
+  /** The run's states, once they are known here. */
+  stateOf(id: string): DagRun | null {
+    const run = this.runs.get(id);
+    if (run === undefined || run.engine === null) return null;
+    for (const [step, job] of run.open) run.engine.running(step, this.isRunning(job));
+    return run.engine;
+  }
+
+  private isRunning(job: string): boolean {
+    const { jobs } = this.context.block;
+    for (const task of jobs.get(job)?.placed ?? []) if (task.state === "running") return true;
+    return false;
+  }
+
+  // What the kernel tells -----------------------------------------------------------------------------------
+
+  changed(change: Change): void {
+    if (this.stopped) return;
+    const id = graphOfKey(change.key);
+    if (id === null) this.jobSeen(change);
+    else if (change.kind === "put") this.seen(id, change.value, change.version);
+    else this.drop(id);
+  }
+
+  /** A submission of which there was no answer may turn up here, long after it was given up for lost. */
+  private jobSeen(change: Change): void {
+    const job = jobOfKey(change.key);
+    if (job === null || change.kind !== "put" || !job.startsWith("wk-dr-")) return;
+    const { spec } = readJob(change.value);
+    const run = this.runOf(spec);
+    const parts = partsOfJobId(job);
+    if (run === null || run.engine === null || parts === null || run.starting.has(parts.step)) return;
+    this.adopt(run, run.engine, parts.step, parts.attempt, job);
+  }
+
+  /** The step's job is there, though the step was not known to be submitted. */
+  private adopt(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): void {
+    if (engine.stateOf(step) !== "scheduled" || engine.nextAttempt(step) !== attempt) return;
+    this.pool(run, step);
+    this.opened(run, engine, step, attempt, job);
+  }
+
+  ended(spec: JobSpec, end: Parameters<Holding["ended"]>[1]): void {
+    const run = this.runOf(spec);
+    const parts = partsOfJobId(spec.id);
+    this.notes.forget(spec.id);
+    if (run === null || parts === null) return;
+    const outcome = outcomeOf(end);
+    run.loaded?.ended.set(spec.id, outcome);
+    if (run.engine !== null) this.adopt(run, run.engine, parts.step, parts.attempt, spec.id);
+    this.release(run, parts.step, spec.id);
+    // While it is being loaded, the jobs that end are read with the others, or told again by `late`.
+    if (run.engine === null) run.late.push(() => run.engine?.ended(parts.step, parts.attempt, outcome));
+    else {
+      run.engine.ended(parts.step, parts.attempt, outcome);
+      this.moved(run);
+    }
+  }
+
+  failed(spec: JobSpec, index: number, reason: ExitReason): void {
+    const run = this.runOf(spec);
+    const parts = partsOfJobId(spec.id);
+    if (run === null || parts === null) return;
+    const limits = run.limits[parts.step];
+    if (limits === undefined || !limits.counts.has(reason)) return;
+    if (this.notes.count(spec.id, index) < limits.errors) return;
+    this.context.log.info("attempt given up", { job: spec.id, reason });
+    this.notes.giveUp(spec.id, "error");
+  }
+
+  private runOf(spec: JobSpec): LiveRun | null {
+    return (spec.origin === undefined ? undefined : this.runs.get(spec.origin.graph)) ?? null;
+  }
+
+  // Runs ----------------------------------------------------------------------------------------------------
+
+  private seen(id: string, value: unknown, version: Whole): void {
+    const header = readHeader(value);
+    if (header.block !== this.context.lease.block) return;
+    const known = this.runs.get(id);
+    if (known === undefined) {
+      const run: LiveRun = {
+        id,
+        header,
+        version,
+        active: false,
+        loading: false,
+        loaded: null,
+        engine: null,
+        limits: [],
+        order: new Uint32Array(0),
+        open: new Map(),
+        starting: new Set(),
+        pooled: new Map(),
+        spent: new Map(),
+        timed: false,
+        writing: false,
+        settling: false,
+        late: [],
+        summed: "",
+        summedAt: this.context.clock.now(),
+        seenAt: this.context.clock.now(),
+      };
+      this.runs.set(id, run);
+      const dag = this.dags.get(dagOf(header)) ?? new Set();
+      dag.add(run);
+      this.dags.set(dagOf(header), dag);
+      this.activate(dag);
+      return;
+    }
+    if (version <= known.version) return;
+    const { round } = known.header;
+    known.version = version;
+    known.header = header;
+    if (header.round !== round) this.reload(known);
+    else if (known.engine !== null) this.follow(known, known.engine);
+  }
+
+  /** What the header asks for. */
+  private follow(run: LiveRun, engine: DagRun): void {
+    const { aborted, timedOut } = run.header;
+    if ((aborted || timedOut) && !engine.isHalted) {
+      engine.halt();
+      this.doors.sweepWithdrawn(run.open.values());
+    }
+    this.moved(run);
+  }
+
+  private drop(id: string): void {
+    const run = this.runs.get(id);
+    if (run === undefined) return;
+    this.runs.delete(id);
+    this.ring.delete(run);
+    this.toLoad.delete(run);
+    this.unpool(run);
+    run.engine = null;
+    this.past.forget(id);
+    const dag = this.dags.get(dagOf(run.header));
+    dag?.delete(run);
+    if (dag === undefined) return;
+    if (dag.size === 0) this.dags.delete(dagOf(run.header));
+    else this.activate(dag);
+    for (const other of dag) if (other.header.before === id) this.lookAtPast(other);
+  }
+
+  /** The earliest of a DAG's runs go ahead, as many as it allows. */
+  private activate(dag: ReadonlySet<LiveRun>): void {
+    let active = 0;
+    for (const run of dag) if (run.active) active += 1;
+    const waiting = [...dag].filter((run) => !run.active);
+    waiting.sort((a, b) => a.header.acceptedMs - b.header.acceptedMs || (a.id < b.id ? -1 : 1));
+    for (const run of waiting) {
+      // One that is to end anyway needs no turn.
+      if (active >= run.header.mostRuns && !run.header.aborted) continue;
+      run.active = true;
+      active += 1;
+      this.toLoad.add(run);
+    }
+    this.loadNext();
+  }
+
+  private reload(run: LiveRun): void {
+    run.engine = null;
+    run.loaded = null;
+    this.unpool(run);
+    this.ring.delete(run);
+    if (run.active) this.toLoad.add(run);
+    this.loadNext();
+  }
+
+  private loadNext(): void {
+    for (const run of this.toLoad) {
+      if (this.loadingCount >= LOADING || this.stopped) return;
+      if (run.loading) continue;
+      this.toLoad.delete(run);
+      this.loadingCount += 1;
+      run.loading = true;
+      this.load(run)
+        .catch((error: unknown) => {
+          this.context.log.error("run not loaded", { run: run.id, error: describeError(error) });
+          return false;
+        })
+        .then((good) => {
+          this.loadingCount -= 1;
+          run.loading = false;
+          const again = !good || run.engine === null;
+          if (again && this.runs.get(run.id) === run && !this.stopped) {
+            this.context.clock.after(RETRY, () => {
+              if (this.runs.get(run.id) !== run || run.engine !== null) return;
+              this.toLoad.add(run);
+              this.loadNext();
+            });
+          }
+          this.loadNext();
+        }, undefined);
+    }
+  }
+
+  private async load(run: LiveRun): Promise<boolean> {
+    const { store, view, clock } = this.context;
+    const { header, version, id } = run;
+    run.late = [];
+    // All that was submitted under the header as it was before is in the view after this.
+    if (!(await view.sync())) return false;
+    const loaded = await loadRun(store, id, header, run.loaded?.plan ?? null);
+    if (loaded === null || this.stopped || this.runs.get(id) !== run) return false;
+    if (run.version !== version && run.header.round !== header.round) return false;
+    if (!(await this.past.prepare(loaded.plan, header))) return false;
+    const { plan, saved } = loaded;
+    run.loaded = loaded;
+    run.limits = planLimits(plan, this.options);
+    run.order = ownOrder(plan);
+    run.timed = run.limits.some(({ timeout }) => timeout !== null);
+    run.spent.clear();
+    run.starting.clear();
+    run.open.clear();
+    const engine: DagRun = new DagRun({
+      plan,
+      order: run.order,
+      limits: run.limits,
+      frozen: saved.finals,
+      clearings: saved.clearings,
+      past: pastOf(id, header, loaded.ended, (key) => view.entries.has(key)),
+      pastRun: (step) => this.pastRun(run, step),
+      onRetry: (step, after) => {
+        clock.after(after, () => {
+          if (this.stopped || run.engine !== engine) return;
+          engine.retryDue(step);
+          this.moved(run);
+        });
+      },
+    });
+    run.engine = engine;
+    for (const [at] of plan.steps.entries()) {
+      if (!isOpen(engine.stateOf(at))) continue;
+      run.open.set(at, jobIdOf(id, header.digest, at, engine.attemptOf(at)));
+      this.pool(run, at);
+    }
+    this.stopCleared(run, engine);
+    for (const tell of run.late.splice(0)) tell();
+    this.follow(run, engine);
+    return true;
+  }
+
+  /** Jobs of attempts from before a clearing, which their steps wait for. */
+  private stopCleared(run: LiveRun, engine: DagRun): void {
+    const { view } = this.context;
+    for (const [step, attempt] of engine.outdated()) {
+      const job = jobIdOf(run.id, run.header.digest, step, attempt);
+      if (view.entries.has(jobKey(job))) this.notes.giveUp(job, "cleared");
+    }
+  }
+
+  private pastRun(run: LiveRun, step: Step): PastRun {
+    return this.past.said(run.header, step.id);
+  }
+
+  private lookAtPast(run: LiveRun): void {
+    if (run.engine === null) return;
+    this.past
+      .prepare(run.engine.plan, run.header)
+      .then(() => {
+        if (run.engine === null || this.stopped) return;
+        run.engine.lookAtPast();
+        this.moved(run);
+      })
+      .catch((error: unknown) => this.context.log.error("past not read", { error: describeError(error) }));
+  }
+
+  /** Something of the run has changed: there may be more to submit, or nothing left to do. */
+  private moved(run: LiveRun): void {
+    const { engine } = run;
+    if (engine === null || this.stopped) return;
+    if (engine.isHalted && engine.result === null) void this.guard(this.settleHalted(run, engine));
+    if (run.header.clear !== null) void this.guard(this.clear(run, engine, run.header.clear));
+    else if (engine.result !== null) void this.guard(this.finish(run, engine));
+    if (engine.hasReady) this.ring.add(run);
+    for (const other of this.dags.get(dagOf(run.header)) ?? []) {
+      if (other.header.before === run.id && other.engine !== null) other.engine.lookAtPast();
+      if (other.engine?.hasReady === true) this.ring.add(other);
+    }
+    this.pump();
+  }
+
+  /** Only once it is sure that no submission from before the word has got through. */
+  private async settleHalted(run: LiveRun, engine: DagRun): Promise<void> {
+    const quiet = (): boolean => run.engine === engine && engine.openSteps === 0 && run.starting.size === 0;
+    if (!quiet() || run.settling) return;
+    run.settling = true;
+    const good = await this.context.view.sync().finally(() => {
+      run.settling = false;
+    });
+    if (!quiet()) return;
+    if (good) engine.finishHalted();
+    if (good) this.moved(run);
+    else this.context.clock.after(RETRY, () => this.moved(run));
+  }
+
+  // Steps ---------------------------------------------------------------------------------------------------
+
+  private poolHasRoom(pool: string): boolean {
+    return (this.poolUse.get(pool) ?? 0) < (this.options.pools[pool] ?? 0);
+  }
+
+  private pool(run: LiveRun, step: number): void {
+    const pool = run.engine?.plan.steps[step]?.pool;
+    if (pool === null || pool === undefined || run.pooled.has(step)) return;
+    run.pooled.set(step, pool);
+    this.poolUse.set(pool, (this.poolUse.get(pool) ?? 0) + 1);
+  }
+
+  private unpoolStep(run: LiveRun, step: number): void {
+    const pool = run.pooled.get(step);
+    if (pool === undefined) return;
+    run.pooled.delete(step);
+    this.poolUse.set(pool, (this.poolUse.get(pool) ?? 1) - 1);
+    for (const other of this.runs.values()) if (other.engine?.hasReady === true) this.ring.add(other);
+  }
+
+  private unpool(run: LiveRun): void {
+    for (const step of [...run.pooled.keys()]) this.unpoolStep(run, step);
+  }
+
+  private release(run: LiveRun, step: number, job: string): void {
+    if (run.open.get(step) !== job) return;
+    run.open.delete(step);
+    run.spent.delete(step);
+    this.unpoolStep(run, step);
+  }
+
+  private hasRoom(run: LiveRun, engine: DagRun): boolean {
+    const most = Math.min(engine.plan.maxActiveTasks, this.options.mostOpen);
+    return engine.openSteps + run.starting.size < most;
+  }
+
+  /** One step of each run in turn, as many as a few transactions take: the others' writes come in between. */
+  private pump(): void {
+    const { settings, lease } = this.context;
+    const most = settings.state.transactionWrites * IN_FLIGHT;
+    if (!lease.valid()) return;
+    for (const run of this.ring) {
+      if (this.inFlight >= most || this.stopped) return;
+      this.ring.delete(run);
+      const { engine } = run;
+      if (engine === null || run.header.clear !== null || !this.hasRoom(run, engine)) continue;
+      const step = engine.take((pool) => this.poolHasRoom(pool));
+      if (step === null) continue;
+      if (engine.hasReady) this.ring.add(run);
+      void this.guard(this.submit(run, engine, step));
+    }
+  }
+
+  private async submit(run: LiveRun, engine: DagRun, step: number): Promise<void> {
+    const { committer, lease, log, clock } = this.context;
+    const plan = engine.plan;
+    const attempt = engine.nextAttempt(step);
+    const job = jobIdOf(run.id, run.header.digest, step, attempt);
+    const spec = this.specOf(run, plan, step, job);
+    const value: JobRecord = { spec, block: homeBlock(spec.team), cancelled: false };
+    const conditions = new Map<string, Whole>([
+      [lease.key, lease.version],
+      // An abort or a clearing changes it: what was under way then comes too late.
+      [graphKey(run.id), run.version],
+      [jobKey(job), 0],
+      [endKey(job), 0],
+    ]);
+    run.starting.add(step);
+    this.pool(run, step);
+    this.inFlight += 1;
+    const result = await committer.propose(conditions, [{ kind: "put", key: jobKey(job), value }]);
+    this.inFlight -= 1;
+    if (run.engine !== engine || this.stopped) return;
+    if (result.kind !== "lost") run.starting.delete(step);
+    switch (result.kind) {
+      case "ok":
+        this.opened(run, engine, step, attempt, job);
+        break;
+      case "conflict":
+        if (result.keys.includes(lease.key)) this.context.fenced();
+        else await this.resolve(run, engine, step, attempt, job);
+        break;
+      case "refused":
+        clock.after(RETRY, () => this.again(run, engine, step));
+        break;
+      case "lost":
+        // It may have been applied, or may yet be: then the next try, or the view, finds it.
+        log.info("step perhaps submitted", { job });
+        clock.after(RETRY, () => {
+          run.starting.delete(step);
+          void this.guard(this.resolve(run, engine, step, attempt, job));
+        });
+    }
+    this.pump();
+  }
+
+  private again(run: LiveRun, engine: DagRun, step: number): void {
+    if (run.engine !== engine || this.stopped) return;
+    this.unpoolStep(run, step);
+    engine.putBack(step);
+    this.moved(run);
+  }
+
+  private specOf(run: LiveRun, plan: Plan, at: number, job: string): JobSpec {
+    const step = plan.steps[at];
+    if (step === undefined) throw new Error(`no step ${at}`);
+    return { ...specOf(plan, step, job), origin: { graph: run.id, place: run.order[at] ?? at } };
+  }
+
+  private opened(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): void {
+    engine.submitted(step, attempt);
+    run.open.set(step, job);
+    const { aborted, timedOut } = run.header;
+    // The word came in between: the job is there, so it is swept like the others.
+    if (aborted || timedOut) this.doors.sweepWithdrawn([job]);
+    if (engine.hasReady) this.ring.add(run);
+  }
+
+  /** The header has changed, or the job is there already: by an earlier try of which there was no answer. */
+  private async resolve(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): Promise<void> {
+    const { view, store, log } = this.context;
+    run.starting.add(step);
+    const synced = await view.sync();
+    if (run.engine !== engine || this.stopped) return;
+    run.starting.delete(step);
+    if (engine.stateOf(step) !== "scheduled") return;
+    if (!synced) {
+      this.context.clock.after(RETRY, () => void this.guard(this.resolve(run, engine, step, attempt, job)));
+      return;
+    }
+    const entry = view.entries.get(jobKey(job));
+    if (entry !== undefined) {
+      if (readJob(entry.value).spec.origin?.graph === run.id) this.opened(run, engine, step, attempt, job);
+      else {
+        log.error("somebody else's job has a step's id", { job });
+        engine.submitted(step, attempt);
+        engine.ended(step, attempt, "killed");
+        this.unpoolStep(run, step);
+        this.moved(run);
+      }
+      return;
+    }
+    const end = await store.get(endKey(job));
+    if (run.engine !== engine || this.stopped) return;
+    if (end.kind === "ok") {
+      this.opened(run, engine, step, attempt, job);
+      this.release(run, step, job);
+      engine.ended(step, attempt, outcomeOf(readEnd(end.value.value)));
+      this.moved(run);
+    } else this.again(run, engine, step);
+  }
+
+  // Ends and clearings --------------------------------------------------------------------------------------
+
+  private conditions(run: LiveRun): Map<string, Whole> {
+    const { lease } = this.context;
+    return new Map([
+      [lease.key, lease.version],
+      [graphKey(run.id), run.version],
+    ]);
+  }
+
+  private nowMs(): number {
+    return Math.round(this.context.wall?.() ?? 0);
+  }
+
+  private async finish(run: LiveRun, engine: DagRun): Promise<void> {
+    if (run.writing) return;
+    run.writing = true;
+    try {
+      const { header } = run;
+      const result = engine.result ?? "failed";
+      const phase: RunEnd = header.aborted ? "withdrawn" : header.timedOut ? "failed" : result;
+      const saved = run.loaded?.saved.clearings ?? new Map<number, number>();
+      const segments = writeSegments(header.steps, header.segment, engine.finals(), saved);
+      const counts = Object.fromEntries(
+        STATES.flatMap((state) => (engine.count(state) > 0 ? [[state, engine.count(state)]] : [])),
+      );
+      const [only] = segments;
+      const one = segments.length === 1 && only !== undefined;
+      if (!one && !(await this.writeSegments(run, segments))) return;
+      const value = { header, phase, counts, endedMs: this.nowMs(), states: one ? only : null };
+      const writes: Write[] = [
+        { kind: "put", key: endedKey(run.id), value },
+        { kind: "delete", key: graphKey(run.id) },
+      ];
+      if (run.summed !== "") writes.push({ kind: "delete", key: summaryKey(run.id) });
+      const written = await this.context.committer.propose(
+        this.conditions(run).set(endedKey(run.id), 0),
+        writes,
+        "work",
+      );
+      if (written.kind !== "ok") {
+        this.refused(run, written.kind === "conflict" ? written.keys : []);
+        return;
+      }
+      this.context.log.info("run ended", { run: run.id, phase, ...counts });
+      this.drop(run.id);
+    } finally {
+      run.writing = false;
+    }
+  }
+
+  private refused(run: LiveRun, keys: readonly string[]): void {
+    const { lease, view, clock } = this.context;
+    if (keys.includes(lease.key)) {
+      this.context.fenced();
+      return;
+    }
+    void this.guard(view.sync());
+    clock.after(RETRY, () => {
+      if (this.runs.get(run.id) === run) this.moved(run);
+    });
+  }
+
+  private async writeSegments(run: LiveRun, segments: readonly unknown[]): Promise<boolean> {
+    const writes = segments.map((value, at): Write => ({ kind: "put", key: segmentKey(run.id, at), value }));
+    const written = await this.context.committer.propose(this.conditions(run), writes, "work");
+    if (written.kind === "ok") return true;
+    this.refused(run, written.kind === "conflict" ? written.keys : []);
+    return false;
+  }
+
+  /** Carries out a clearing that is on record: what is not cleared stays as it is, whatever the others come to. */
+  private async clear(run: LiveRun, engine: DagRun, clear: Clear): Promise<void> {
+    if (run.writing || run.loaded === null) return;
+    run.writing = true;
+    try {
+      const { header } = run;
+      const cleared = closure(engine.plan, clear);
+      const round = Math.min(MOST_CLEARINGS, header.round + 1);
+      const finals = [...engine.finals()].filter(([at]) => !cleared.has(at));
+      const clearings = new Map(run.loaded.saved.clearings);
+      for (const at of cleared) clearings.set(at, round);
+      const writes: Write[] = writeSegments(header.steps, header.segment, finals, clearings).map((value, at) => ({
+        kind: "put",
+        key: segmentKey(run.id, at),
+        value,
+      }));
+      const value: Header = { ...header, round, clear: null };
+      writes.push({ kind: "put", key: graphKey(run.id), value });
+      const written = await this.context.committer.propose(this.conditions(run), writes, "work");
+      if (written.kind !== "ok") {
+        this.refused(run, written.kind === "conflict" ? written.keys : []);
+        return;
+      }
+      this.context.log.info("steps cleared", { run: run.id, steps: cleared.size, round });
+      this.seen(run.id, value, written.version);
+    } finally {
+      run.writing = false;
+    }
+  }
+
+  // Time ----------------------------------------------------------------------------------------------------
+
+  private tick(): void {
+    if (this.stopped) return;
+    const { clock, log } = this.context;
+    const now = clock.now();
+    const passed = (now - this.tickedAt) as Micros;
+    this.tickedAt = now;
+    try {
+      for (const run of this.runs.values()) {
+        if (run.engine === null) continue;
+        if (run.timed) this.timeSteps(run, passed);
+        this.timeRun(run, run.engine);
+        this.summarize(run, run.engine);
+      }
+      this.uploads.sweep();
+      this.pump();
+    } catch (error) {
+      log.error("runs failed to move", { error: describeError(error) });
+    }
+    clock.after(TICK, () => this.tick());
+  }
+
+  private timeSteps(run: LiveRun, passed: Micros): void {
+    for (const [step, job] of run.open) {
+      const timeout = run.limits[step]?.timeout ?? null;
+      if (timeout === null || !this.isRunning(job)) continue;
+      const spent = ((run.spent.get(step) ?? 0) + passed) as Micros;
+      run.spent.set(step, spent);
+      if (spent > timeout) this.notes.giveUp(job, "timeout");
+    }
+  }
+
+  /** By the time of day where there is one, since a run may outlive many holders. */
+  private timeRun(run: LiveRun, engine: DagRun): void {
+    const { timeoutS } = engine.plan;
+    const { header } = run;
+    if (timeoutS === null || header.timedOut || header.aborted || run.writing || header.clear !== null) return;
+    const now = this.nowMs();
+    const passed =
+      now > 0 && header.acceptedMs > 0 ? now - header.acceptedMs : (this.context.clock.now() - run.seenAt) / 1_000;
+    if (passed < timeoutS * 1_000) return;
+    run.writing = true;
+    const value: Header = { ...header, timedOut: true };
+    const write: Write = { kind: "put", key: graphKey(run.id), value };
+    void this.guard(
+      this.context.committer.propose(this.conditions(run), [write], "cancel").then((written) => {
+        run.writing = false;
+        if (written.kind === "ok") this.seen(run.id, value, written.version);
+        else this.refused(run, written.kind === "conflict" ? written.keys : []);
+      }),
+    );
+  }
+
+  private summarize(run: LiveRun, engine: DagRun): void {
+    const { clock, committer, lease } = this.context;
+    if (run.header.steps < LARGE_RUN || run.writing || clock.now() - run.summedAt < SUMMARY_PERIOD) return;
+    this.stateOf(run.id);
+    const counts = STATES.map((state) => engine.count(state));
+    const text = counts.join();
+    if (text === run.summed) return;
+    run.summed = text;
+    run.summedAt = clock.now();
+    const write: Write = { kind: "put", key: summaryKey(run.id), value: counts };
+    void this.guard(
+      committer.propose(
+        new Map([
+          [lease.key, lease.version],
+          [graphKey(run.id), run.version],
+        ]),
+        [write],
+        "note",
+      ),
+    );
+  }
+
+  private guard(work: Promise<unknown>): Promise<void> {
+    return work.then(
+      () => undefined,
+      (error: unknown) => this.context.log.error("run step failed", { error: describeError(error) }),
+    );
+  }
+}
+
+/** The steps that a clearing is about. */
+export const closure = (plan: Plan, clear: Clear): ReadonlySet<number> => {
+  const cleared = new Set(clear.steps);
+  if (!clear.downstream) return cleared;
+  const downstream = downstreamOf(plan);
+  const work = [...clear.steps];
+  for (let at = work.pop(); at !== undefined; at = work.pop()) {
+    for (const down of downstream[at] ?? []) {
+      if (cleared.has(down)) continue;
+      cleared.add(down);
+      work.push(down);
+    }
+  }
+  return cleared;
+};
--- /dev/null
+++ b/src/graphs/service/uploads.ts
@@ -0,0 +1,78 @@
+import type { BlockContext } from "../../coordination/context.js";
+import { type Micros, seconds } from "../../transport/clock.js";
+import { describeError } from "../../transport/log.js";
+import { endedKey, graphKey, partPrefix, planKey, uploadKey, uploadOfKey } from "./records.js";
+
+/** Parts of a definition whose rest has not come by then are dropped; users give up long before. */
+const PATIENCE = seconds(900);
+const PERIOD = seconds(30);
+const AT_ONCE = 50;
+
+/** Clears away what was uploaded in parts and never became a run. */
+export class Uploads {
+  private readonly firstSeen = new Map<string, Micros>();
+  private sweptAt: Micros;
+  private sweeping = false;
+
+  constructor(
+    private readonly context: Pick<BlockContext, "view" | "store" | "committer" | "lease" | "clock" | "log">,
+  ) {
+    this.sweptAt = context.clock.now();
+  }
+
+  sweep(): void {
+    const { view, clock, log } = this.context;
+    const now = clock.now();
+    if (this.sweeping || now - this.sweptAt < PERIOD) return;
+    this.sweptAt = now;
+    const stale: string[] = [];
+    const present = new Set<string>();
+    for (const key of view.entries.keys()) {
+      const id = uploadOfKey(key);
+      if (id === null) continue;
+      present.add(id);
+      const since = this.firstSeen.get(id) ?? now;
+      this.firstSeen.set(id, since);
+      if (now - since > PATIENCE || view.entries.has(graphKey(id))) stale.push(id);
+    }
+    for (const id of this.firstSeen.keys()) if (!present.has(id)) this.firstSeen.delete(id);
+    const [next] = stale;
+    if (next === undefined) return;
+    this.sweeping = true;
+    this.drop(next)
+      .catch((error: unknown) => log.error("upload not cleared away", { error: describeError(error) }))
+      .then(() => {
+        this.sweeping = false;
+      }, undefined);
+  }
+
+  /** The parts first, the marker last: what is left after a crash is found again. */
+  private async drop(id: string): Promise<void> {
+    const { store, committer, lease, log, view } = this.context;
+    const own = new Map([[lease.key, lease.version]]);
+    const reply = await store.list(partPrefix(id));
+    if (reply.kind !== "ok") return;
+    for (const { key } of reply.value.entries.slice(0, AT_ONCE)) {
+      const result = await committer.propose(own, [{ kind: "delete", key }], "upkeep");
+      if (result.kind !== "ok") return;
+    }
+    if (reply.value.entries.length > AT_ONCE) return;
+    const marker = view.entries.get(uploadKey(id));
+    if (marker === undefined) return;
+    const { plan, chunks } = marker.value as { readonly plan?: string; readonly chunks?: number };
+    if (plan !== undefined && !view.entries.has(graphKey(id))) {
+      // Its run may have ended since: then the chunks are what it is remembered by.
+      const ended = await store.get(endedKey(id));
+      if (ended.kind !== "ok" && ended.kind !== "missing") return;
+      for (let at = 0; ended.kind === "missing" && at < (chunks ?? 0); at += 1) {
+        const key = planKey(id, plan, at);
+        // Whoever uploads it anew writes the marker first: then these come too late.
+        const still = new Map([...own, [uploadKey(id), marker.version]]);
+        const result = await committer.propose(still, [{ kind: "delete", key }], "upkeep");
+        if (result.kind !== "ok") return;
+      }
+    }
+    await committer.propose(own, [{ kind: "delete", key: uploadKey(id) }], "upkeep");
+    log.info("upload cleared away", { run: id });
+  }
+}
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -142,6 +142,7 @@
         wakeRound: () => this.wakeRound(ROUND_GAP),
         wakeCommands: (machine) => this.command(machine),
         sink: null,
+        failed: () => undefined,
       },
       { note: (range) => this.note(range), finish: (job) => this.finish(job) },
     );
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -1,5 +1,6 @@
 import type { SiteEvent } from "../bookkeeping/events.js";
 import { Controller, type Outside } from "../coordination/controller.js";
+import type { MakeExtension } from "../coordination/extension.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
 import type { Log, LogFields } from "../transport/log.js";
@@ -45,6 +46,8 @@
   readonly quirks?: Quirks;
   /** Bounds of each controller's process; none by default. */
   readonly bounds?: Bounds;
+  /** What makes jobs of its own beside the controllers' kernel. */
+  readonly extension?: MakeExtension;
   /** Changes that a watch on the state service can look back on. */
   readonly stateLog?: number;
 }
@@ -176,6 +179,7 @@
       http: this.network.client(node.host.address, clock),
       random: this.random.next,
       sink: this.watch.sink ?? null,
+      extension: this.setup.extension ?? null,
       // Off by as much as the settings allow, one way or the other.
       wall: () => WALL_MS + this.world.now / 1_000 + (at % 2 === 0 ? 1 : -1) * CLOCK_ERROR_MS,
       ...(door === null ? {} : this.bounded(at, door)),
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -25,6 +25,8 @@
   private writes = 0;
   /** Writes asked for so far, refused ones included. */
   asked = 0;
+  /** Told of each transaction that was carried out; a test may end a controller there. */
+  onApplied: (keys: readonly string[]) => void = () => undefined;
   /** Share of transactions that are carried out, now or seconds later, without an answer. */
   unanswered = 0;
 
@@ -53,6 +55,10 @@
     return this.items.get(key)?.value;
   }
 
+  keys(under: string): readonly string[] {
+    return [...this.items.keys()].filter((key) => key.startsWith(under));
+  }
+
   private tenth(): void {
     this.requests = Math.max(0, this.requests - this.limits.rps / 10);
     this.writes = Math.max(0, this.writes - this.limits.writeRps / 10);
@@ -150,6 +156,7 @@
       } else this.remove(write.remove);
     }
     this.wake();
+    this.onApplied(writes.map((write) => ("set" in write ? write.set : write.remove)));
     return json(200, { epoch: this.epoch });
   }
 
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -25,6 +25,14 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** What the job is a part of, where it is one; never sent by users. */
+  readonly origin?: Origin;
+}
+
+/** `place`: the job's place in its graph's own order, which decides among the graph's jobs and nowhere else. */
+export interface Origin {
+  readonly graph: string;
+  readonly place: number;
 }
 
 /** Whole thousandths, so that adding and subtracting leaves no rounding behind in a quota. */
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,82 +3,12 @@
 import { type Bounds, MEASURED, S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
+import { trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
 const SEEDS = Number(process.env.RAINRIDGE_SEEDS ?? 24);
 const FROM = Number(process.env.RAINRIDGE_FROM ?? 1);
 
-/** Every kind of trouble the users listed, drawn at random, often several at once. */
-const trouble = (cluster: Cluster, random: Random): void => {
-  const length = (): number => random.int(5, 40) * S;
-  const node = random.int(0, 2);
-  const machines = cluster.cloud.running();
-  const mode = random.pick(["hold", "reset"] as const);
-  switch (random.int(0, 15)) {
-    case 0:
-      cluster.crash(node);
-      break;
-    case 1:
-      for (const at of [0, 1, 2]) cluster.crash(at);
-      break;
-    case 2:
-      for (const at of [0, 1, 2]) cluster.world.after(at * 6 * S, () => cluster.crash(at));
-      break;
-    case 3:
-      cluster.state.outage(random.int(3, 25) * S);
-      break;
-    case 4:
-      cluster.state.refuse(cluster.site.nodeAddress(node), length());
-      break;
-    case 5:
-      cluster.site.cutFromState(node, length(), mode);
-      break;
-    case 6:
-      for (const machine of machines.slice(0, random.int(1, 3))) {
-        cluster.site.cutMachine(machine.worker?.host.address ?? "", length(), mode);
-      }
-      break;
-    case 7:
-      for (const machine of machines) if (random.chance(0.25)) machine.worker?.hang(length());
-      break;
-    case 8:
-      for (const machine of machines) {
-        if (!machine.info.spot || !random.chance(0.6)) continue;
-        if (random.chance(0.5)) machine.worker?.notice(8 * S);
-        cluster.world.after(8 * S, () => cluster.cloud.take(machine.ref));
-      }
-      break;
-    case 9:
-      if (machines.length > 0 && random.chance(0.5)) {
-        const sick = random.pick(machines).worker;
-        sick?.sicken();
-      }
-      break;
-    case 10:
-      cluster.cloud.outageUntil = cluster.world.now + length();
-      break;
-    case 12:
-      cluster.site.cutZone(random.pick(["east", "west"]), length(), mode);
-      break;
-    case 13:
-      // The holder may end before the leases in the zone do, and its successor, too.
-      cluster.site.cutZone(random.pick(["east", "west"]), length(), mode);
-      for (const at of [0, 1, 2]) cluster.world.after(random.int(0, 24 * S), () => cluster.crash(at));
-      break;
-    case 14:
-      cluster.site.freeze(node, length());
-      break;
-    case 15:
-      cluster.site.cutFromWorkers(node, length(), mode);
-      break;
-    default:
-      cluster.state.unanswered = 0.2;
-      cluster.world.after(length(), () => {
-        cluster.state.unanswered = 0;
-      });
-  }
-};
-
 /** Controllers with too few connections and a processor that is behind for seconds whenever much happens at once. */
 const SMALL: Bounds = {
   cpuShare: 0.02,
--- /dev/null
+++ b/test/graph-days.test.ts
@@ -0,0 +1,229 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  compile,
+  GraphError,
+  type Outcome,
+  type Plan,
+  partsOfJobId,
+  planLimits,
+  readDocument,
+} from "../src/graphs/index.js";
+import { Random, S } from "../src/model/index.js";
+import { randomPlan } from "./graph-fixtures.js";
+import { bruteForce } from "./graph-rules.js";
+import { plainJob } from "./sim/cluster.js";
+import { GRAPH_OPTIONS, GraphSite, JOB_FIELDS } from "./sim/graph-site.js";
+import { trouble } from "./sim/troubles.js";
+
+/** Many more are run by hand: RAINRIDGE_GRAPH_SEEDS=1000 (docs/results.md). */
+const SEEDS = Number(process.env.RAINRIDGE_GRAPH_SEEDS ?? 12);
+const FROM = Number(process.env.RAINRIDGE_FROM ?? 1);
+/** All kinds but those that make steps fail by chance. */
+const KINDS_WITHOUT_SICK = 9;
+
+interface Graph {
+  readonly id: string;
+  readonly body: unknown;
+  readonly plan: Plan;
+}
+
+/** A random run as its planner would write it; null where its definition is refused. */
+const randomGraph = (random: Random, id: string): Graph | null => {
+  const { steps } = randomPlan(random);
+  const tasks = steps.map((step, at) => ({
+    task_id: step.id,
+    upstream: step.upstream.map((up) => steps[up]?.id),
+    trigger_rule: step.rule,
+    setup: step.setup,
+    priority_weight: step.weight,
+    weight_rule: step.weightRule,
+    ...(step.kind === "job" ? { retry_delay: step.retry.delayS } : {}),
+    ...(step.retry.retries === null ? {} : { retries: step.retry.retries }),
+    ...(step.kind === "empty" ? { empty: true } : {}),
+    ...(step.kind === "skip" ? { expand: { x: "none" } } : {}),
+    ...(step.kind === "short_circuit"
+      ? { short_circuit: at % 2 === 0 ? "{{ params.go }}" : "no", ignore_downstream_trigger_rules: step.cutsAll }
+      : {}),
+  }));
+  const graph = {
+    dag_id: id,
+    owner: random.pick(["open", "capped"]),
+    params: { none: [], go: true },
+    default_args: { job: { ...JOB_FIELDS, loaner: random.chance(0.5) } },
+    tasks,
+  };
+  try {
+    const plan = compile(readDocument(graph), { id, ds: "2026-01-01", params: {} }, GRAPH_OPTIONS);
+    return { id, plan, body: { ref: id, ds: "2026-01-01", graph } };
+  } catch (error) {
+    if (error instanceof GraphError) return null;
+    throw error;
+  }
+};
+
+/** Whether an attempt fails is settled beforehand, by its name alone. */
+const fateOf =
+  (seed: number, graph: number) =>
+  (step: number, attempt: number): Outcome =>
+    new Random(seed * 1_000_003 + graph * 10_007 + step * 101 + attempt).chance(0.2) ? "error" : "done";
+
+class Day {
+  readonly graphs: Graph[] = [];
+  /** Final states as users were told them. */
+  private readonly told = new Map<string, string>();
+  readonly site: GraphSite;
+  /** How often each step's job was put on record where there was none. */
+  readonly created = new Map<string, number>();
+  private readonly present = new Set<string>();
+
+  constructor(readonly seed: number) {
+    this.site = new GraphSite(seed);
+    this.site.stepBehaviour = (job) => {
+      const parts = partsOfJobId(job);
+      const graph = Number(/^wk-dr-(\d+)/.exec(job)?.[1] ?? 0);
+      const fails = parts !== null && fateOf(seed, graph)(parts.step, parts.attempt) === "error";
+      return { failsAlways: fails, runUs: (1 + ((parts?.step ?? 0) % 4)) * S };
+    };
+    this.site.state.onApplied = (keys) => {
+      for (const key of keys) {
+        if (!key.startsWith("c/job/wk-dr-")) continue;
+        if (this.site.state.value(key) === undefined) this.present.delete(key);
+        else if (!this.present.has(key)) {
+          this.present.add(key);
+          this.created.set(key, (this.created.get(key) ?? 0) + 1);
+        }
+      }
+    };
+  }
+
+  /** Submits as users do, for as long as it takes. */
+  submit(graph: Graph, at: number): void {
+    this.graphs.push(graph);
+    const attempt = (): void => {
+      void this.site.put("POST", "/v2/graphs", graph.body).then((status) => {
+        if (status === 201 || status === 200) return;
+        assert.ok(status === 0 || status >= 429, `${graph.id}: ${status}`);
+        this.site.world.after(2 * S, attempt);
+      });
+    };
+    this.site.world.at(at, attempt);
+  }
+
+  /** What any controller tells of steps: what is final stays as it is. */
+  watch(untilUs: number): void {
+    for (const { id } of this.graphs) {
+      void this.site.steps(id).then((steps) => {
+        for (const { step, state } of steps) {
+          const key = `${id} ${step}`;
+          const before = this.told.get(key);
+          if (before !== undefined && before !== state) {
+            this.site.errors.push(`${key} went from ${before} to ${state}`);
+          }
+          if (["success", "failed", "upstream_failed", "skipped"].includes(state)) this.told.set(key, state);
+        }
+      });
+    }
+    if (this.site.world.now < untilUs) this.site.world.after(7 * S, () => this.watch(untilUs));
+  }
+
+  async check(): Promise<void> {
+    const { site, seed } = this;
+    assert.deepEqual(site.errors, [], `seed ${seed}: errors logged`);
+    for (const { id, plan } of this.graphs) {
+      const limits = planLimits(plan, GRAPH_OPTIONS);
+      const attempts = (at: number): number => limits[at]?.attempts ?? 1;
+      const fate = fateOf(seed, Number(id.slice(3)));
+      const wanted = bruteForce(plan, fate, attempts);
+      const steps = await site.steps(id, true);
+      const lines = (): string =>
+        site.log
+          .filter((line) => line.includes(id))
+          .slice(-40)
+          .join("\n");
+      const phase = (site.state.value(`ge/${id}`) as { phase?: string } | undefined)?.phase;
+      assert.ok(phase === "success" || phase === "failed", `seed ${seed}: ${id} never ended\n${lines()}`);
+      assert.deepEqual(
+        steps.map(({ state }) => state),
+        wanted,
+        `seed ${seed} ${id}\n${lines()}`,
+      );
+      for (const [at, step] of plan.steps.entries()) {
+        // What ran at all ran as often as its fate and its class say, and each attempt was submitted once.
+        const own = [...this.created].filter(([key]) => {
+          const parts = partsOfJobId(key);
+          return key.startsWith(`c/job/wk-${id}.`) && parts?.step === at;
+        });
+        assert.ok(
+          own.every(([, count]) => count === 1),
+          `seed ${seed}: ${id} ${step.id} submitted twice`,
+        );
+        let tries = 1;
+        while (tries < attempts(at) && fate(at, tries) === "error") tries += 1;
+        const ran = step.kind === "job" && (wanted[at] === "success" || wanted[at] === "failed");
+        assert.equal(own.length, ran ? tries : 0, `seed ${seed}: attempts of ${id} ${step.id}`);
+      }
+    }
+    const left = site.state.keys("c/").filter((key) => /^c\/(graph|gsum|job\/wk-dr-)/.test(key));
+    assert.deepEqual(left, [], `seed ${seed}: left behind`);
+  }
+}
+
+const day = async (seed: number): Promise<void> => {
+  const random = new Random(seed + 7_000);
+  const today = new Day(seed);
+  const { site } = today;
+  const busy = 120 * S;
+  for (let number = 0; today.graphs.length < 5; number += 1) {
+    const graph = randomGraph(random, `dr-${number}`);
+    if (graph !== null) today.submit(graph, random.int(2 * S, busy));
+  }
+  for (let number = 0; number < 6; number += 1) {
+    const job = plainJob(`wk-${number}`, { shards: random.int(1, 4) });
+    site.world.at(random.int(2 * S, busy), () => site.submit(job, { runUs: 6 * S }));
+  }
+  for (let number = random.int(2, 5); number > 0; number -= 1) {
+    site.world.at(random.int(5 * S, busy), () => trouble(site, random, KINDS_WITHOUT_SICK));
+  }
+  site.world.at(5 * S, () => today.watch(500 * S));
+  await site.run(900 * S);
+  await today.check();
+};
+
+test("random graphs through random troubles end as Airflow's rules say", { timeout: 6_000_000 }, async () => {
+  for (let seed = FROM; seed < FROM + SEEDS; seed += 1) await day(seed);
+});
+
+test("a run survives the end of its holder, or of all controllers, after every single write", async () => {
+  const tasks = [
+    { task_id: "s0" },
+    { task_id: "s1", upstream: ["s0"] },
+    { task_id: "s2", upstream: ["s0"], trigger_rule: "all_done" },
+    { task_id: "s3", upstream: ["s1", "s2"], trigger_rule: "none_failed" },
+  ];
+  const graph = { dag_id: "d", owner: "open", default_args: { job: JOB_FIELDS }, tasks };
+  const body = { ref: "dr-1", ds: "2026-01-01", graph };
+  const plan = compile(readDocument(graph), { id: "dr-1", ds: "2026-01-01", params: {} }, GRAPH_OPTIONS);
+  let writes = Number.POSITIVE_INFINITY;
+  for (let killAfter = 1; killAfter < writes; killAfter += 1) {
+    const today = new Day(3);
+    const { site } = today;
+    const own = site.state.onApplied;
+    let applied = 0;
+    site.state.onApplied = (keys) => {
+      own(keys);
+      if (!keys.some((key) => key.includes("dr-1"))) return;
+      applied += 1;
+      if (applied !== killAfter) return;
+      // Before any answer to the write can arrive.
+      if (killAfter % 2 === 0) for (const at of [0, 1, 2]) site.crash(at);
+      else site.crash(site.holder());
+    };
+    await site.run(3 * S);
+    today.submit({ id: "dr-1", body, plan }, 3 * S);
+    await site.run(150 * S);
+    await today.check();
+    if (applied < killAfter) writes = killAfter;
+  }
+  assert.ok(writes > 15, `${writes} writes`);
+});
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -1,7 +1,10 @@
+import { jobKey, readJob } from "../../src/bookkeeping/records.js";
+import { graphsWith } from "../../src/graphs/index.js";
 import {
   type Behaviour,
   type Bounds,
   HostClock,
+  jobBehaviour,
   nobody,
   Random,
   S,
@@ -11,6 +14,7 @@
   type TypeSpec,
   type Witness,
 } from "../../src/model/index.js";
+import { submissionOf } from "../../src/protocol/user.js";
 import { DEFAULT_OPTIONS, type Options } from "../../src/settings/options.js";
 import { parseSettings } from "../../src/settings/settings.js";
 import type { Micros } from "../../src/transport/clock.js";
@@ -96,6 +100,8 @@
   readonly checker: Checker;
   readonly errors: string[] = [];
   readonly log: string[] = [];
+  /** Every start of a task, in order. */
+  readonly begun: { readonly task: string; readonly at: number }[] = [];
   /** Machines of a kind that a zone holds, whatever their type. */
   readonly rooms = { spot: 6, ordinary: 8 };
 
@@ -118,6 +124,7 @@
       seed,
       settings: (index) => parseSettings(settingsAt(index, alter)),
       quirks: { repeats: 0.2, lingers: 0.5 },
+      ...(options.graphs ? { extension: graphsWith(options.graphs) } : {}),
       stateLog: 300,
       ...(bounds === undefined ? {} : { bounds }),
       room: (_type, zone, spot, cloud) => {
@@ -129,7 +136,10 @@
         const { hearing } = checker;
         const witness: Witness = {
           ...nobody,
-          taskOn: (task, machine) => checker?.taskOn(task, machine),
+          taskOn: (task, machine) => {
+            this.begun.push({ task, at: world.now });
+            checker?.taskOn(task, machine);
+          },
           taskOff: (task, machine) => checker?.taskOff(task, machine),
           taskDone: (task) => checker?.taskDone(task),
         };
@@ -149,6 +159,20 @@
     });
     if (checker === null) throw new Error("no checker");
     this.checker = checker;
+    // Workers fetch the description of a step's job where the service keeps it.
+    this.site.truth.lookUp = (id) => this.described(id);
+  }
+
+  /** How the tasks of a graph's step behave. */
+  stepBehaviour: (job: string) => Partial<Behaviour> = () => ({});
+
+  private described(id: string): Behaviour | null {
+    const value = this.state.value(jobKey(id));
+    if (value === undefined) return null;
+    const { spec } = readJob(value);
+    const job = submissionOf(spec) as unknown as Submission;
+    this.checker.jobs.set(id, trueJob(job));
+    return { ...jobBehaviour(job), runUs: 3 * S, ...this.stepBehaviour(id) };
   }
 
   get world(): Site["world"] {
