--- a/src/client.ts
+++ b/src/client.ts
@@ -8,15 +8,27 @@
 
 const PATIENCE = seconds(5);
 
-const ask = async (server: string, request: Request): Promise<string> => {
+export interface Reply {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfterS: number | null;
+}
+
+/** Throws a `ClientError` where there was no answer. */
+export const call = async (server: string, request: Request): Promise<Reply> => {
   if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(server))
     throw new ClientError(`${server}: not an address like 10.0.0.1:8080`);
   const outcome = await new NetHttpClient(systemClock, 1).call(server, request, PATIENCE);
   if (outcome.kind === "unsent") throw new ClientError(`${server}: cannot be reached`);
   if (outcome.kind === "lost") throw new ClientError(`${server}: no answer; the request may have been carried out`);
-  if (outcome.status === 200 || outcome.status === 201) return outcome.body;
-  const later = outcome.retryAfterS === null ? "" : `, try again in ${outcome.retryAfterS} s`;
-  throw new ClientError(`status ${outcome.status}: ${outcome.body}${later}`);
+  return outcome;
+};
+
+const ask = async (server: string, request: Request): Promise<string> => {
+  const { status, body, retryAfterS } = await call(server, request);
+  if (status === 200 || status === 201) return body;
+  const later = retryAfterS === null ? "" : `, try again in ${retryAfterS} s`;
+  throw new ClientError(`status ${status}: ${body}${later}`);
 };
 
 const jobPath = (id: string, rest = ""): string => {
--- /dev/null
+++ b/src/commands/graph-client.ts
@@ -0,0 +1,101 @@
+import { ClientError, call, type Reply } from "../client.js";
+import { CommandError } from "./cli.js";
+
+/** A request body holds 64 KiB; what JSON adds to a part's text stays within the rest. */
+const PART = 24_000;
+const WHOLE = 60_000;
+const PATIENCE_MS = 60_000;
+const MOST_PAUSE_S = 30;
+
+const pause = (time: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, time));
+
+const reasonOf = ({ status, body }: Reply): string => {
+  try {
+    const { error } = JSON.parse(body) as { readonly error?: unknown };
+    if (typeof error === "string") return error;
+  } catch (error) {
+    if (!(error instanceof SyntaxError)) throw error;
+  }
+  return `status ${status}`;
+};
+
+/** Asks until there is an answer that stays, for a minute at most, as all users do. */
+export const request = async (
+  server: string,
+  method: string,
+  target: string,
+  body: unknown = null,
+): Promise<string> => {
+  const until = performance.now() + PATIENCE_MS;
+  const text = body === null ? "" : JSON.stringify(body);
+  for (;;) {
+    let why = "no answer";
+    let wait = 1;
+    try {
+      const reply = await call(server, { method, target, body: text });
+      if (reply.status >= 200 && reply.status < 300) return reply.body;
+      why = reasonOf(reply);
+      if (reply.status < 500 && reply.status !== 429) throw new CommandError(why);
+      wait = Math.min(MOST_PAUSE_S, Math.max(1, reply.retryAfterS ?? 1));
+    } catch (error) {
+      if (!(error instanceof ClientError)) throw error;
+      if (error.message.includes("not an address")) throw new CommandError(error.message, true);
+      why = error.message;
+    }
+    if (performance.now() + wait * 1_000 > until) throw new CommandError(`given up after a minute: ${why}`);
+    await pause(wait * 1_000);
+  }
+};
+
+/** As a whole where it fits into one request, else in numbered parts. */
+export const submitGraph = async (
+  server: string,
+  body: { readonly ref: string },
+  progress: (done: number, of: number) => void,
+): Promise<string> => {
+  const text = JSON.stringify(body);
+  if (Buffer.byteLength(text) <= WHOLE) return request(server, "POST", "/v2/graphs", body);
+  const parts: string[] = [];
+  for (let at = 0; at < text.length; at += PART) parts.push(text.slice(at, at + PART));
+  let said = "";
+  for (const [part, piece] of parts.entries()) {
+    said = await request(server, "POST", "/v2/graphs", { ref: body.ref, part, parts: parts.length, text: piece });
+    progress(part + 1, parts.length);
+  }
+  return said;
+};
+
+export interface GraphStatus {
+  readonly ref: string;
+  readonly phase: string;
+  readonly dag_id?: string;
+  readonly steps?: number;
+  readonly counts?: Readonly<Record<string, number>>;
+}
+
+const ENDS: ReadonlySet<string> = new Set(["success", "failed", "withdrawn"]);
+export const isOver = ({ phase }: GraphStatus): boolean => ENDS.has(phase);
+
+export const statusLine = ({ ref, phase, counts = {} }: GraphStatus): string => {
+  const states = Object.entries(counts).map(([state, count]) => `${count} ${state}`);
+  return `${ref}: ${phase}${states.length === 0 ? "" : ` (${states.join(", ")})`}`;
+};
+
+export const graphStatus = async (server: string, id: string): Promise<GraphStatus> =>
+  JSON.parse(await request(server, "GET", `/v2/graphs/${id}`)) as GraphStatus;
+
+/** Asks every second until the run is over. */
+export const watchGraph = async (
+  server: string,
+  id: string,
+  show: (status: GraphStatus) => void,
+): Promise<GraphStatus> => {
+  for (;;) {
+    const status = await graphStatus(server, id);
+    show(status);
+    // A run that was withdrawn says so at once; its last tasks may be stopping yet.
+    const open = (status.counts?.queued ?? 0) + (status.counts?.running ?? 0);
+    if (isOver(status) && open === 0) return status;
+    await pause(1_000);
+  }
+};
--- /dev/null
+++ b/src/commands/graph-files.ts
@@ -0,0 +1,99 @@
+import { readFileSync, statSync } from "node:fs";
+import type { GraphDocument, PlacedProblem, Plan } from "../graphs/index.js";
+import { DEFAULT_GRAPHS, type GraphOptions } from "../settings/graph-options.js";
+import { loadOptions } from "../settings/options.js";
+import { SettingsError } from "../settings/settings.js";
+import { CommandError } from "./cli.js";
+
+export type GraphsPackage = typeof import("../graphs/index.js");
+
+/** Loaded only when it is used. */
+export const graphs = (): Promise<GraphsPackage> => import("../graphs/index.js");
+
+export interface RunFlags {
+  readonly param: readonly string[];
+  readonly ds?: string;
+  readonly options?: string;
+}
+
+export interface ReadGraph {
+  readonly document: GraphDocument;
+  readonly params: Readonly<Record<string, unknown>>;
+  readonly place: (problem: { path: readonly (string | number)[]; message: string }) => PlacedProblem;
+}
+
+/** What is wrong with a file, one line each. */
+export class FileProblems extends Error {
+  constructor(
+    readonly file: string,
+    readonly problems: readonly PlacedProblem[],
+  ) {
+    super(file);
+  }
+}
+
+/** `name=value`; the value as JSON where it is JSON, else as text. */
+export const readParams = (given: readonly string[]): Readonly<Record<string, unknown>> =>
+  Object.fromEntries(
+    given.map((text) => {
+      const at = text.indexOf("=");
+      if (at < 1) throw new CommandError(`--param ${text}: not name=value`, true);
+      const value = text.slice(at + 1);
+      try {
+        return [text.slice(0, at), JSON.parse(value) as unknown];
+      } catch (error) {
+        if (!(error instanceof SyntaxError)) throw error;
+        return [text.slice(0, at), value];
+      }
+    }),
+  );
+
+export const graphOptions = async (file: string | undefined): Promise<GraphOptions> => {
+  try {
+    return (await loadOptions(file ?? null)).graphs ?? DEFAULT_GRAPHS;
+  } catch (error) {
+    if (error instanceof SettingsError) throw new CommandError(error.message, true);
+    throw error;
+  }
+};
+
+const MOST_BYTES = 64 * 1_024 * 1_024;
+
+export const readGraph = async (file: string, flags: RunFlags): Promise<ReadGraph> => {
+  const { readText, readDocument, GraphError } = await graphs();
+  let text: string;
+  try {
+    if (statSync(file).size > MOST_BYTES) throw new CommandError(`${file}: larger than any graph`, true);
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    if (error instanceof CommandError) throw error;
+    throw new CommandError(`${file}: ${(error as NodeJS.ErrnoException).code ?? "cannot be read"}`, true);
+  }
+  let place: ReadGraph["place"] = (problem) => ({ ...problem, line: null, column: null });
+  try {
+    const read = readText(text);
+    ({ place } = read);
+    return { document: readDocument(read.value), params: readParams(flags.param), place };
+  } catch (error) {
+    if (error instanceof GraphError) throw new FileProblems(file, error.problems.map(place));
+    throw error;
+  }
+};
+
+export const today = (): string => new Date().toISOString().slice(0, 10);
+
+export const compileFile = async (
+  file: string,
+  id: string,
+  flags: RunFlags,
+): Promise<{ readonly plan: Plan; readonly read: ReadGraph }> => {
+  const { compile, GraphError } = await graphs();
+  const read = await readGraph(file, flags);
+  try {
+    const words = { id, ds: flags.ds ?? today(), params: read.params };
+    return { plan: compile(read.document, words, await graphOptions(flags.options)), read };
+  } catch (error) {
+    if (error instanceof GraphError) throw new FileProblems(file, error.problems.map(read.place));
+    throw error;
+  }
+};
--- /dev/null
+++ b/src/commands/graph-limits.ts
@@ -0,0 +1,61 @@
+import { readFileSync } from "node:fs";
+import { neverRuns } from "../coordination/decisions/eligibility.js";
+import type { Plan } from "../graphs/index.js";
+import { type MachineType, readTypes } from "../protocol/cloud.js";
+import { Malformed, parseJson } from "../protocol/json.js";
+import { CommandError } from "./cli.js";
+import { graphs } from "./graph-files.js";
+import { load } from "./serving.js";
+
+const typesIn = (file: string): ReadonlyMap<string, MachineType> => {
+  try {
+    return new Map(readTypes(parseJson(readFileSync(file, "utf8"))).map((type) => [type.name, type]));
+  } catch (error) {
+    if (
+      !(error instanceof Malformed || error instanceof SyntaxError) &&
+      (error as NodeJS.ErrnoException).code === undefined
+    )
+      throw error;
+    throw new CommandError(`${file}: ${error instanceof Error ? error.message : "cannot be read"}`, true);
+  }
+};
+
+/** Why a step of the plan can never run on the deployment; null: each can. Without types only teams are looked at. */
+export const neverRunning = async (
+  plan: Plan,
+  config: string,
+  typesFile: string | undefined,
+): Promise<string | null> => {
+  const { settings } = await load({ config });
+  const { specOf } = await graphs();
+  const types = typesFile === undefined ? null : typesIn(typesFile);
+  const checked = new Set<number>();
+  for (const step of plan.steps) {
+    if (step.job === null || checked.has(step.job)) continue;
+    checked.add(step.job);
+    const spec = specOf(plan, step, "wk-step");
+    const roomy: MachineType | null = types === null ? roomyType(spec.types?.[0] ?? "any", settings.zones) : null;
+    const never = neverRuns(spec, settings, types ?? new Map(roomy === null ? [] : [[roomy.name, roomy]]));
+    if (never !== null) return `step ${step.id}: ${never}`;
+  }
+  return null;
+};
+
+/** Stands for whatever machines there are, so that only the teams' limits speak. */
+const roomyType = (name: string, zones: readonly string[]): MachineType | null =>
+  readTypes({
+    flavors: [
+      {
+        sku: name,
+        cpus: 1e6,
+        accelerators: 1e6,
+        ramGb: 1e9,
+        localGb: 1e9,
+        pullGbPerS: 1,
+        price: 1,
+        spotPrice: 1,
+        bootS: 1,
+        areas: zones,
+      },
+    ],
+  })[0] ?? null;
--- a/src/commands/local.ts
+++ b/src/commands/local.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import type { Command } from "commander";
 import type { Submission } from "../model/index.js";
+import type { GraphOptions } from "../settings/graph-options.js";
 import { CommandError, DONE, Progress, positiveNumber, REFUSED, say, wholeNumber } from "./cli.js";
 import { PROGRAM } from "./with-whatif.js";
 
@@ -10,6 +11,7 @@
   readonly seed: number;
   readonly port: number;
   readonly jobs?: string;
+  readonly graph?: string;
   readonly options?: string;
   readonly stay?: boolean;
   readonly json?: boolean;
@@ -52,7 +54,9 @@
   const options = await loadOptions(flags.options ?? null).catch((error: unknown) => {
     throw new CommandError(error instanceof Error ? error.message : String(error), true);
   });
-  const jobs = flags.jobs === undefined ? model.sampleJobs(flags.seed) : await readJobs(flags.jobs);
+  const graph = flags.graph === undefined ? null : await graphToRun(flags.graph, flags.options);
+  const sample = graph === null ? model.sampleJobs(flags.seed) : [];
+  const jobs = flags.jobs === undefined ? sample : await readJobs(flags.jobs);
   const spec = model.sampleSite(flags.machines);
   const books: InstanceType<typeof Ledger>[] = [];
   const tell = (text: string): void => {
@@ -60,7 +64,8 @@
   };
   const site = await model.LocalSite.start({
     spec,
-    options,
+    // Whoever brings a graph wants it taken.
+    options: graph === null ? options : { ...options, graphs: graph.options },
     seed: flags.seed,
     port: flags.port,
     speed: flags.speed,
@@ -109,7 +114,8 @@
     };
     look();
   });
-  await Promise.race([finished, stopped]);
+  const ran = graph === null ? Promise.resolve(true) : graph.run(controllers[0] ?? "", (text) => progress.show(text));
+  const [, good] = (await Promise.race([Promise.all([finished, ran]), stopped])) ?? [undefined, false];
   progress.end();
   const open = ledger.openJobs;
   if (flags.stay === true && !interrupted) {
@@ -125,8 +131,43 @@
     remarks: [],
   });
   await site.stop();
-  say(flags.json === true ? JSON.stringify(outcome) : summaryOf(outcome));
-  process.exit(open === 0 ? DONE : REFUSED);
+  if (flags.json === true) say(JSON.stringify(outcome));
+  else if (jobs.length > 0) say(summaryOf(outcome));
+  process.exit(open === 0 && good ? DONE : REFUSED);
+};
+
+interface GraphToRun {
+  readonly options: GraphOptions;
+  /** Resolves to whether the run came to a good end. */
+  readonly run: (server: string, show: (text: string) => void) => Promise<boolean>;
+}
+
+/** Read and checked before anything is started. */
+const graphToRun = async (file: string, options: string | undefined): Promise<GraphToRun> => {
+  const [files, client] = await Promise.all([import("./graph-files.js"), import("./graph-client.js")]);
+  const flags = { param: [], ...(options === undefined ? {} : { options }) };
+  const { read, plan } = await files.compileFile(file, "dr-local", flags).catch(async (error: unknown) => {
+    if (!(error instanceof files.FileProblems)) throw error;
+    const { placedText } = await files.graphs();
+    const [first] = error.problems;
+    throw new CommandError(first === undefined ? file : placedText(file, first));
+  });
+  return {
+    options: await files.graphOptions(options),
+    run: async (server, show) => {
+      const body = { ref: "dr-local", graph: read.document, params: read.params, ds: files.today() };
+      await client.submitGraph(server, body, () => undefined);
+      say(`${plan.dagId}: ${plan.steps.length} steps submitted as dr-local`);
+      let before = "";
+      const last = await client.watchGraph(server, "dr-local", (status) => {
+        const line = client.statusLine(status);
+        show(line);
+        if (line !== before) say(line);
+        before = line;
+      });
+      return last.phase === "success";
+    },
+  };
 };
 
 /** A whole site on this machine: what a newcomer runs first. */
@@ -139,6 +180,7 @@
     .option("--seed <n>", "luck of the sample's sizes, boots and fetches", wholeNumber, 1)
     .option("--port <n>", "first of the eight ports for controllers, state service and cloud", wholeNumber, 7_400)
     .option("--jobs <file>", "jobs to submit instead of the sample (JSON list)")
+    .option("--graph <file>", "a graph to run instead of the sample (YAML or JSON)")
     .option("--options <file>", "operators' settings (JSON) for the controllers")
     .option("--stay", "go on serving until Ctrl-C, so that submit, show and abort can be tried")
     .option("--json", "the summary as JSON")
@@ -148,6 +190,7 @@
 Examples:
   rainridge local
   rainridge local --machines 40 --speed 4
+  rainridge local --graph examples/graphs/charge-plan.yaml
   rainridge local --stay        # then: rainridge submit --server 127.0.0.1:7400 examples/job.json`,
     )
     .action(local);
--- a/src/graphs/index.ts
+++ b/src/graphs/index.ts
@@ -13,3 +13,5 @@
 export { downstreamOf, ownOrder } from "./run/weights.js";
 export { graphsWith } from "./service/extension.js";
 export { graphKey, isRunId, jobIdOf, jobPrefix, partsOfJobId } from "./service/records.js";
+export { drawingOf, MOST_DRAWN } from "./show/drawing.js";
+export { outline, treeOf } from "./show/outline.js";
--- /dev/null
+++ b/src/graphs/show/outline.ts
@@ -0,0 +1,54 @@
+import type { Plan, Step } from "../run/plan.js";
+
+/** A task as its planner wrote it: all steps that it was mapped to are one. */
+export interface OutlineTask {
+  readonly id: string;
+  readonly steps: number;
+  readonly step: Step;
+  readonly upstream: readonly string[];
+}
+
+export const taskOf = (step: string): string => step.replace(/\[\d+\]$/, "");
+
+export const outline = (plan: Plan): readonly OutlineTask[] => {
+  const tasks = new Map<string, { steps: number; step: Step; upstream: Set<string> }>();
+  for (const step of plan.steps) {
+    const id = taskOf(step.id);
+    const task = tasks.get(id) ?? { steps: 0, step, upstream: new Set<string>() };
+    task.steps += 1;
+    for (const up of step.upstream) task.upstream.add(taskOf(plan.steps[up]?.id ?? ""));
+    tasks.set(id, task);
+  }
+  return [...tasks].map(([id, { steps, step, upstream }]) => ({ id, steps, step, upstream: [...upstream] }));
+};
+
+export const labelOf = ({ id, steps, step }: OutlineTask): string => {
+  const words: string[] = [];
+  if (steps > 1) words.push(`${steps} steps`);
+  if (step.kind !== "job") words.push(step.kind.replace("_", " "));
+  if (step.rule !== "all_success") words.push(step.rule);
+  if (step.pool !== null) words.push(`pool ${step.pool}`);
+  return words.length === 0 ? id : `${id} (${words.join(", ")})`;
+};
+
+/** Each task below the first of those it waits for; where it is named again, only its name is. */
+export const treeOf = (plan: Plan): string => {
+  const tasks = outline(plan);
+  const below = new Map<string, OutlineTask[]>(tasks.map(({ id }) => [id, []]));
+  for (const task of tasks) for (const up of task.upstream) below.get(up)?.push(task);
+  const lines = [`${plan.dagId}: ${plan.steps.length} steps in ${tasks.length} tasks, owner ${plan.owner}`];
+  const shown = new Set<string>();
+  const work = tasks
+    .filter(({ upstream }) => upstream.length === 0)
+    .reverse()
+    .map((task) => ({ task, depth: 1 }));
+  for (let next = work.pop(); next !== undefined; next = work.pop()) {
+    const { task, depth } = next;
+    const again = shown.has(task.id);
+    lines.push(`${"  ".repeat(depth)}${again ? `${task.id} ^` : labelOf(task)}`);
+    if (again) continue;
+    shown.add(task.id);
+    for (const down of [...(below.get(task.id) ?? [])].reverse()) work.push({ task: down, depth: depth + 1 });
+  }
+  return lines.join("\n");
+};
--- a/src/main.ts
+++ b/src/main.ts
@@ -21,8 +21,13 @@
 addServe(program);
 // A controller's start loads nothing that it does not need.
 if (first !== "--config" && first !== "serve") {
-  const [local, whatif] = await Promise.all([import("./commands/local.js"), import("./commands/whatif.js")]);
+  const [local, whatif, graph] = await Promise.all([
+    import("./commands/local.js"),
+    import("./commands/whatif.js"),
+    import("./commands/graph.js"),
+  ]);
   addClients(program);
+  graph.addGraph(program);
   local.addLocal(program);
   whatif.addWhatif(program);
 }
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, readdirSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -31,13 +31,42 @@
   const file = join(mkdtempSync(join(tmpdir(), "rainridge-")), "settings.toml");
   writeFileSync(file, settingsText());
   const names = readdirSync(deploy).filter((name) => name.endsWith(".json"));
-  assert.ok(names.includes("all-on.json") && names.includes("record.json"));
+  assert.ok(names.includes("all-on.json") && names.includes("record.json") && names.includes("graphs.json"));
   for (const name of names) {
     const { status, stderr } = call("check", "--config", file, "--options", join(deploy, name));
     assert.equal(status, 0, `${name}: ${stderr}`);
   }
 });
 
+const GRAPH = fileURLToPath(new URL("../../../examples/graphs/charge-plan.yaml", import.meta.url));
+
+test("graph files are checked, shown and drawn, and what is wrong stands on lines of its own", () => {
+  const checked = call("graph", "check", GRAPH, "--json");
+  assert.deepEqual(
+    [checked.status, JSON.parse(checked.stdout)],
+    [0, { valid: true, dag_id: "charge-plan", steps: 14 }],
+  );
+  const shown = call("graph", "show", GRAPH);
+  assert.match(shown.stdout, /\n {4}plans\.region \(4 steps\)\n/);
+  const folder = mkdtempSync(join(tmpdir(), "rainridge-"));
+  const drawn = call("graph", "show", GRAPH, "--svg", join(folder, "g.svg"));
+  assert.equal(drawn.status, 0, drawn.stderr);
+  assert.match(readFileSync(join(folder, "g.svg"), "utf8"), /<svg[\s\S]*plans\.merged/);
+  const file = join(folder, "bad.yaml");
+  writeFileSync(file, readFileSync(GRAPH, "utf8").replace("- {task_id: tariffs}", "- {task_id: packs}"));
+  const bad = call("graph", "check", file);
+  assert.equal(bad.status, 1);
+  assert.match(bad.stderr, /^rainridge: [^\n]*bad\.yaml:51:\d+: task_groups\[0\]\.tasks\[1\]\.task_id: [^\n]*\n$/);
+  const settings = join(folder, "settings.toml");
+  writeFileSync(settings, settingsText());
+  const limits = call("graph", "check", GRAPH, "--config", settings);
+  assert.match(limits.stderr, /step read\.packs: unknown team/);
+  const first = call("graph", "jobs", GRAPH, "--id", "dr-a", "--ds", "2026-01-01").stdout.split("\n")[0] ?? "";
+  assert.match((JSON.parse(first) as { job: { ref: string } }).job.ref, /^wk-dr-a\.[0-9a-f]{8}\.0000\.1$/);
+  assert.equal(call("graph", "check", GRAPH, "--param", "rehearse=maybe").status, 1);
+  assert.equal(call("graph", "check", "/no/such").status, 2);
+});
+
 test("the example that ships is replayed as the README says", () => {
   const run = call("whatif", "run", EXAMPLE, "--fast", "--json");
   assert.equal(run.status, 0, run.stderr);
