--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -2,11 +2,18 @@
 import type { Whole } from "../protocol/json.js";
 import type { JobSpec } from "../protocol/user.js";
 import type { Team } from "../settings/settings.js";
-import type { Clock } from "../transport/clock.js";
+import type { Clock, Micros } from "../transport/clock.js";
 import { newMachine, rememberImage, tally } from "./machines.js";
 import type { Job, Machine, Range, Task } from "./picture.js";
 import { readRange, type TaskRecord } from "./records.js";
 
+/**
+ * Nothing speaks against it. Not the present time: ranges come into being in the midst of a round, and by the time that
+ * the round began with, a task of this very moment was not to start yet. It waited for the next round, a second later
+ * where little happens.
+ */
+const ANY_TIME = 0 as Micros;
+
 /** All that the holder of a block knows: its jobs, machines and team ledgers. Forgotten with the lease. */
 export class Block {
   readonly jobs = new Map<string, Job>();
@@ -36,7 +43,7 @@
       seenAt: this.clock.now(),
       ending: false,
       failedOn: new Set(),
-      retryAfter: this.clock.now(),
+      retryAfter: ANY_TIME,
       failures: 0,
     };
     this.jobs.set(spec.id, job);
@@ -93,10 +100,10 @@
         state: null,
         runningSince: null,
         stop: null,
-        notBefore: this.clock.now(),
+        notBefore: ANY_TIME,
         failures: 0,
         waitingSince: this.clock.now(),
-        preemptAfter: this.clock.now(),
+        preemptAfter: ANY_TIME,
       };
       tasks.push(task);
       if (record.kind === "done") job.done += 1;
--- /dev/null
+++ b/src/commands/whatif-graphs.ts
@@ -0,0 +1,54 @@
+import type { GraphLoadResult, GraphShape } from "../whatif/index.js";
+import { Progress, say, span, table } from "./cli.js";
+import { PROGRAM, withWhatif } from "./with-whatif.js";
+
+export interface GraphLoadFlags {
+  readonly shape: GraphShape;
+  readonly steps: number;
+  readonly graphs: number;
+  readonly machines: number;
+  readonly writes: number;
+  readonly run: number;
+  readonly until: number;
+  readonly seed: number;
+  readonly loopback?: boolean;
+  readonly port: number;
+  readonly json?: boolean;
+}
+
+const short = (us: number): string => (us < 10_000_000 ? `${(us / 1_000).toFixed(0)} ms` : span(us));
+
+const rowsOf = (result: GraphLoadResult): readonly (readonly string[])[] => [
+  ["runs ended", `${result.ended} of ${result.graphs}, ${result.steps} steps each`],
+  ["lasted", span(result.lastedUs)],
+  ["end to acceptance, half / 99 %", `${short(result.accepted.p50)} / ${short(result.accepted.p99)}`],
+  [
+    "end to start, half / 99 % / most",
+    `${short(result.latency.p50)} / ${short(result.latency.p99)} / ${short(result.latency.most)}`,
+  ],
+  ["graphs' own writes a step", result.ownWrites.toFixed(3)],
+  ["all writes a step", result.allWrites.toFixed(2)],
+];
+
+/** How long steps wait for each other's ends, and what they cost the state service. */
+export const graphLoad = (flags: GraphLoadFlags): Promise<void> =>
+  withWhatif(async (whatif) => {
+    const progress = new Progress(true);
+    const result = await whatif.playGraphLoad(
+      {
+        shape: flags.shape,
+        steps: flags.steps,
+        graphs: flags.graphs,
+        machines: flags.machines,
+        writesPerS: flags.writes,
+        runUs: flags.run,
+        untilUs: flags.until,
+        seed: flags.seed,
+        loopback: flags.loopback === true ? { port: flags.port, program: PROGRAM } : null,
+      },
+      (now, ended) => progress.show(`${span(now)}: ${ended} of ${flags.graphs} ended`),
+    );
+    progress.end();
+    say(flags.json === true ? JSON.stringify(result) : table(["", `${flags.shape}`], rowsOf(result)));
+    process.exit(0);
+  });
--- a/src/commands/whatif.ts
+++ b/src/commands/whatif.ts
@@ -1,6 +1,7 @@
-import type { Command } from "commander";
+import { type Command, Option } from "commander";
 import { collect, duration, positiveNumber, wholeNumber } from "./cli.js";
 import { compareVariants, runSweep } from "./whatif-compare.js";
+import type { GraphLoadFlags } from "./whatif-graphs.js";
 import { load } from "./whatif-load.js";
 import { run, verify } from "./whatif-run.js";
 import { check, convertFiles, printSchema, record, synth } from "./whatif-traces.js";
@@ -122,6 +123,26 @@
     .option("--json", "answer as JSON")
     .addHelpText("after", "\nExample:\n  rainridge whatif check night.jsonl.gz")
     .action(check);
+  group
+    .command("graphs")
+    .description("how long steps of graphs wait for each other's ends, and what they write (simulated, or loopback)")
+    .addOption(
+      new Option("--shape <shape>", "of each graph")
+        .choices(["wide", "chain", "layered", "mapped", "many"])
+        .default("many"),
+    )
+    .option("--steps <n>", "steps of a graph", wholeNumber, 20)
+    .option("--graphs <n>", "graphs submitted at once", wholeNumber, 1)
+    .option("--machines <n>", "machines of 16 CPUs", wholeNumber, 60)
+    .option("--writes <n>", "changes a second that the state service takes", wholeNumber, 30)
+    .option("--run <time>", "a step's run time", duration, 1_000_000)
+    .option("--until <time>", "end after this time", duration, 3_600_000_000)
+    .option("--seed <n>", "luck of delays", wholeNumber, 1)
+    .option("--loopback", "real controllers on loopback instead of simulated ones")
+    .option("--port <n>", "first port for that", wholeNumber, 7_600)
+    .option("--json", "the result as JSON")
+    .addHelpText("after", "\nExample:\n  rainridge whatif graphs --shape chain --steps 200 --writes 2000 --loopback")
+    .action(async (flags: GraphLoadFlags) => (await import("./whatif-graphs.js")).graphLoad(flags));
   group
     .command("load")
     .description("how many machines controllers of a size carry, and which limit comes first (simulated machines)")
--- a/src/graphs/run/dag-run.ts
+++ b/src/graphs/run/dag-run.ts
@@ -332,6 +332,11 @@
     return best?.queue.pop() ?? null;
   }
 
+  /** Pools for which some step is ready; the empty name stands for none. */
+  *readyPools(): Iterable<string> {
+    for (const [pool, queue] of this.ready) if (this.headOf(queue) !== undefined) yield pool;
+  }
+
   /** Passes over steps that were found to be submitted already. */
   private headOf(queue: TinyQueue<number>): number | undefined {
     for (let head = queue.peek(); head !== undefined; head = queue.peek()) {
--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -82,6 +82,10 @@
   /** Runs with steps to submit, each in turn. */
   private readonly ring = new Set<LiveRun>();
   private readonly toLoad = new Set<LiveRun>();
+  /** By run, the one of its DAG that was accepted next, where that depends on it. */
+  private readonly followers = new Map<string, LiveRun>();
+  /** By pool without a free slot, the runs that have a step for it, in the order in which they asked. */
+  private readonly poolQueues = new Map<string, Set<LiveRun>>();
   private readonly notes: JobNotes;
   private readonly uploads: Uploads;
   private readonly past: PastRuns;
@@ -224,6 +228,7 @@
         seenAt: this.context.clock.now(),
       };
       this.runs.set(id, run);
+      if (header.before !== null) this.followers.set(header.before, run);
       const dag = this.dags.get(dagOf(header)) ?? new Set();
       dag.add(run);
       this.dags.set(dagOf(header), dag);
@@ -253,6 +258,8 @@
     if (run === undefined) return;
     this.runs.delete(id);
     this.ring.delete(run);
+    for (const queue of this.poolQueues.values()) queue.delete(run);
+    if (run.header.before !== null) this.followers.delete(run.header.before);
     this.toLoad.delete(run);
     this.unpool(run);
     run.engine = null;
@@ -262,7 +269,8 @@
     if (dag === undefined) return;
     if (dag.size === 0) this.dags.delete(dagOf(run.header));
     else this.activate(dag);
-    for (const other of dag) if (other.header.before === id) this.lookAtPast(other);
+    const next = this.followers.get(id);
+    if (next !== undefined) this.lookAtPast(next);
   }
 
   /** The earliest of a DAG's runs go ahead, as many as it allows. */
@@ -397,10 +405,9 @@
     if (run.header.clear !== null) void this.guard(this.clear(run, engine, run.header.clear));
     else if (engine.result !== null) void this.guard(this.finish(run, engine));
     if (engine.hasReady) this.ring.add(run);
-    for (const other of this.dags.get(dagOf(run.header)) ?? []) {
-      if (other.header.before === run.id && other.engine !== null) other.engine.lookAtPast();
-      if (other.engine?.hasReady === true) this.ring.add(other);
-    }
+    const next = this.followers.get(run.id);
+    next?.engine?.lookAtPast();
+    if (next?.engine?.hasReady === true) this.ring.add(next);
     this.pump();
   }
 
@@ -436,7 +443,29 @@
     if (pool === undefined) return;
     run.pooled.delete(step);
     this.poolUse.set(pool, (this.poolUse.get(pool) ?? 1) - 1);
-    for (const other of this.runs.values()) if (other.engine?.hasReady === true) this.ring.add(other);
+    this.offerSlots(pool);
+  }
+
+  /** A free slot is the first one's in the queue; who has no use for it any more passes it on. */
+  private offerSlots(pool: string): void {
+    const queue = this.poolQueues.get(pool);
+    if (queue === undefined || !this.poolHasRoom(pool)) return;
+    for (const run of queue) {
+      queue.delete(run);
+      if (run.engine?.hasReady !== true) continue;
+      this.ring.add(run);
+      break;
+    }
+    if (queue.size === 0) this.poolQueues.delete(pool);
+  }
+
+  private queueFor(run: LiveRun, engine: DagRun): void {
+    for (const pool of engine.readyPools()) {
+      if (pool === "" || this.poolHasRoom(pool)) continue;
+      const queue = this.poolQueues.get(pool) ?? new Set();
+      queue.add(run);
+      this.poolQueues.set(pool, queue);
+    }
   }
 
   private unpool(run: LiveRun): void {
@@ -466,10 +495,12 @@
       const { engine } = run;
       if (engine === null || run.header.clear !== null || !this.hasRoom(run, engine)) continue;
       const step = engine.take((pool) => this.poolHasRoom(pool));
+      if (engine.hasReady) this.queueFor(run, engine);
       if (step === null) continue;
       if (engine.hasReady) this.ring.add(run);
       void this.guard(this.submit(run, engine, step));
     }
+    for (const pool of [...this.poolQueues.keys()]) this.offerSlots(pool);
   }
 
   private async submit(run: LiveRun, engine: DagRun, step: number): Promise<void> {
--- a/src/whatif/index.ts
+++ b/src/whatif/index.ts
@@ -5,6 +5,13 @@
 export { replayFaithfully } from "./faithful.js";
 export { replayFast } from "./fast.js";
 export * from "./format.js";
+export {
+  GRAPH_SHAPES,
+  type GraphLoadResult,
+  type GraphLoadSpec,
+  type GraphShape,
+  playGraphLoad,
+} from "./graph-load.js";
 export { Ledger } from "./ledger.js";
 export { type ControllerSize, type LoadResult, type LoadSpec, playLoad } from "./load.js";
 export { type Agreement, agreement, type LoopbackRequest, playOnLoopback } from "./on-loopback.js";
--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -84,6 +84,18 @@
   assert.equal(block.jobs.get("wk-large")?.placed.size, 1);
 });
 
+test("a job that has just come is placed in the round under way, though the clock goes on meanwhile", () => {
+  const { add, picture, world } = setUp(1);
+  add({ shards: 2 }, "wk-1");
+  const begun = picture();
+  world.now += 40;
+  const actions = [...decideRound(begun, newMemory())];
+  assert.ok(
+    actions.some(({ kind }) => kind === "place"),
+    JSON.stringify(actions.map(({ kind }) => kind)),
+  );
+});
+
 test("what is stopped for whom comes with its reason", () => {
   const lower = setUp(1);
   lower.add({ shards: 4, cpus: 4, rank: "normal", saveEveryS: 5, saveTakesS: 1.2 }, "wk-low");
