What-if: a graph's steps wait in a replay for the ends that they waited for

A recorded graph was replayed as jobs at their recorded times, which is wrong as soon as a changed policy ends a step earlier or later. The holder now tells what each step's job waited for; traces keep it (follows, folded into after and pauseUs of a submission), and both models submit it when those have ended.

--- a/src/bookkeeping/events.ts
+++ b/src/bookkeeping/events.ts
@@ -12,6 +12,8 @@
 export type SiteEvent =
   | { readonly kind: "job seen"; readonly spec: JobSpec }
   | { readonly kind: "job cancelled"; readonly job: string }
+  /** The job was submitted because those before it had ended, so long ago. */
+  | { readonly kind: "job follows"; readonly job: string; readonly after: readonly string[]; readonly pause: Micros }
   | { readonly kind: "task done"; readonly job: string; readonly index: number; readonly ran: Micros }
   | ({ readonly kind: "machine up" | "machine deleted" | "machine failed" | "machine faulty" } & MachineFacts)
   | ({ readonly kind: "machine notice" | "machine silent"; readonly span: Micros } & MachineFacts)
--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -9,7 +9,7 @@
 import { type Micros, ms, seconds } from "../../transport/clock.js";
 import { describeError } from "../../transport/log.js";
 import { specOf } from "../description/compile.js";
-import { DagRun, MOST_CLEARINGS, type PastRun } from "../run/dag-run.js";
+import { DagRun, MOST_CLEARINGS, type PastRun, tryOf } from "../run/dag-run.js";
 import type { Plan, Step } from "../run/plan.js";
 import { type Limits, planLimits } from "../run/retry.js";
 import { isOpen, STATES } from "../run/states.js";
@@ -561,12 +561,40 @@
   private opened(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): void {
     engine.submitted(step, attempt);
     run.open.set(step, job);
+    this.record(run, engine, step, attempt, job);
     const { aborted, timedOut } = run.header;
     // The word came in between: the job is there, so it is swept like the others.
     if (aborted || timedOut) this.doors.sweepWithdrawn([job]);
     if (engine.hasReady) this.ring.add(run);
   }
 
+  /** For a trace: what the job waited for. */
+  private record(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): void {
+    const { sink } = this.context;
+    if (sink === null) return;
+    const jobOf = (at: number, number: number): string => jobIdOf(run.id, run.header.digest, at, number);
+    const tries = tryOf(attempt);
+    if (tries > 1) {
+      const pause = run.limits[step]?.delay(tries - 1) ?? (0 as Micros);
+      sink({ kind: "job follows", job, after: [jobOf(step, attempt - 1)], pause });
+      return;
+    }
+    const after: string[] = [];
+    // Steps that run nothing stand for those before them.
+    const work = [...(engine.plan.steps[step]?.upstream ?? [])];
+    const seen = new Set(work);
+    for (let at = work.pop(); at !== undefined; at = work.pop()) {
+      if (engine.attemptOf(at) > 0) after.push(jobOf(at, engine.attemptOf(at)));
+      else {
+        for (const up of engine.plan.steps[at]?.upstream ?? []) {
+          if (!seen.has(up)) work.push(up);
+          seen.add(up);
+        }
+      }
+    }
+    if (after.length > 0) sink({ kind: "job follows", job, after, pause: 0 as Micros });
+  }
+
   /** The header has changed, or the job is there already: by an earlier try of which there was no answer. */
   private async resolve(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): Promise<void> {
     const { view, store, log } = this.context;
--- a/src/whatif/conduct.ts
+++ b/src/whatif/conduct.ts
@@ -48,7 +48,7 @@
   const { untilUs, events } = request;
   if (untilUs !== null && now >= untilUs) return "until";
   if (!player.finished) return null;
-  if (ledger.openJobs === 0 && now >= (events.at(-1)?.at ?? 0) + AFTERMATH) return "finished";
+  if (ledger.openJobs === 0 && player.held === 0 && now >= (events.at(-1)?.at ?? 0) + AFTERMATH) return "finished";
   return now - Math.max(ledger.lastMove, events.at(-1)?.at ?? 0) > STUCK_AFTER ? "stuck" : null;
 };
 
@@ -102,6 +102,7 @@
     ...others,
   };
   const player = new Player(stage, events, request.onPlayed);
+  books.onEnd = (job) => player.jobEnded(job);
   let ended: Outcome["ended"] | null = null;
   const look = (): void => {
     books.sample();
--- a/src/whatif/format.ts
+++ b/src/whatif/format.ts
@@ -38,6 +38,10 @@
   readonly fails?: boolean;
   /** Submitted so long before the trace began: in flight at its start. */
   readonly beforeUs?: number;
+  /** Jobs that it waits for: submitted when the last of them has ended, whenever that is in the replay. */
+  readonly after?: readonly string[];
+  /** So long after that end. */
+  readonly pauseUs?: number;
 }
 
 export type TraceEvent =
@@ -45,6 +49,13 @@
   | (At & { readonly event: "abort"; readonly job: string })
   /** What a recorder saw of a task: tells its run time, is not replayed by itself. */
   | (At & { readonly event: "task_end"; readonly job: string; readonly index: number; readonly ranUs: number })
+  /** A graph's step: tells what its job waited for, is not replayed by itself. */
+  | (At & {
+      readonly event: "follows";
+      readonly job: string;
+      readonly after: readonly string[];
+      readonly pauseUs: number;
+    })
   /** Told for the reader; which machines a replay has is for the policy to decide. */
   | (OfMachine & { readonly event: "machine_up" })
   /** `deleted` is the scheduler's own doing and is told only; the others are replayed. */
@@ -187,10 +198,13 @@
       runsUs: { type: "object", propertyNames: { pattern: "^\\d{1,6}$" }, additionalProperties: us },
       fails: { type: "boolean" },
       beforeUs: us,
+      after: names,
+      pauseUs: us,
     },
-    ["runUs", "runsUs", "fails", "beforeUs"],
+    ["runUs", "runsUs", "fails", "beforeUs", "after", "pauseUs"],
   ),
   abort: event("abort", { job: name }),
+  follows: event("follows", { job: name, after: names, pauseUs: us }),
   task_end: event("task_end", { job: name, index: us, ranUs: us }),
   machine_up: event("machine_up", machine),
   machine_down: event("machine_down", { ...machine, why: { enum: ["deleted", "taken", "failed"] } }),
--- a/src/whatif/ledger.ts
+++ b/src/whatif/ledger.ts
@@ -128,8 +128,12 @@
     this.queued += job.shards;
   }
 
+  /** Told of each job that has ended, in whatever way, or never will begin. */
+  onEnd: (job: string) => void = () => undefined;
+
   private close(account: Account): void {
     account.finish = this.now();
+    this.onEnd(account.job.ref);
     if (account.job.shape !== "daemon") this.open -= 1;
     this.queued -= account.job.shards - account.done - account.on;
   }
@@ -239,6 +243,7 @@
     this.finishing.push(account.job.ref);
     account.finish = this.now();
     this.open -= 1;
+    this.onEnd(account.job.ref);
   }
 
   machineAsked(machine: HostInfo): void {
--- a/src/whatif/on-loopback.ts
+++ b/src/whatif/on-loopback.ts
@@ -63,13 +63,19 @@
       events,
       request.onPlayed,
     );
+    ledger.onEnd = (job) => player.jobEnded(job);
     player.start();
     const ended = await new Promise<Outcome["ended"]>((resolve) => {
       const look = (): void => {
         ledger.sample();
         request.progress?.(now(), ledger);
         if (untilUs !== null && now() >= untilUs) resolve("until");
-        else if (player.finished && ledger.openJobs === 0 && now() >= (events.at(-1)?.at ?? 0) + AFTERMATH) {
+        else if (
+          player.finished &&
+          player.held === 0 &&
+          ledger.openJobs === 0 &&
+          now() >= (events.at(-1)?.at ?? 0) + AFTERMATH
+        ) {
           resolve("finished");
         } else timeline.after(LOOK, look);
       };
--- a/src/whatif/overrides.ts
+++ b/src/whatif/overrides.ts
@@ -126,7 +126,9 @@
 const rename = (event: TraceEvent, names: ReadonlyMap<string, string>): TraceEvent => {
   if (event.event === "submit") {
     const ref = names.get(event.job.ref);
-    return ref === undefined ? event : { ...event, job: { ...event.job, ref } };
+    const renamed = ref === undefined ? event : { ...event, job: { ...event.job, ref } };
+    if (event.after === undefined) return renamed;
+    return { ...renamed, after: event.after.map((job) => names.get(job) ?? job) };
   }
   if (event.event !== "abort" && event.event !== "task_end") return event;
   const job = names.get(event.job);
--- a/src/whatif/player.ts
+++ b/src/whatif/player.ts
@@ -58,17 +58,58 @@
   private readonly counterparts = new Counterparts();
   private next = 0;
   private readonly submitted = new Set<string>();
+  private readonly timeline: readonly TraceEvent[];
+  /** Submissions that wait for the ends of others, and of how many. */
+  private readonly waiting = new Map<string, { readonly event: SubmitEvent; left: number }>();
+  private readonly followers = new Map<string, string[]>();
+  private readonly ended = new Set<string>();
 
   /** `onPlayed`: told of each event that was carried out, with the machine that it fell on. */
   constructor(
     private readonly stage: Stage,
-    private readonly events: readonly TraceEvent[],
+    events: readonly TraceEvent[],
     private readonly onPlayed: (event: TraceEvent, on: HostInfo | null) => void = () => undefined,
-  ) {}
+  ) {
+    const refs = new Set(events.flatMap((event) => (event.event === "submit" ? [event.job.ref] : [])));
+    this.timeline = events.filter((event) => !(event.event === "submit" && this.holdBack(event, refs)));
+  }
 
-  /** Nothing more is to come. */
+  /** Nothing more is to come but what waits for others to end. */
   get finished(): boolean {
-    return this.next >= this.events.length;
+    return this.next >= this.timeline.length;
+  }
+
+  /** Submissions that wait for the ends of others. */
+  get held(): number {
+    return this.waiting.size;
+  }
+
+  /** Told by whoever keeps the books, once for each job. */
+  jobEnded(job: string): void {
+    if (this.ended.has(job)) return;
+    this.ended.add(job);
+    for (const follower of this.followers.get(job) ?? []) this.release(follower);
+    this.followers.delete(job);
+  }
+
+  /** Whether it waits for others of the trace, instead of for its own time. */
+  private holdBack(event: SubmitEvent, refs: ReadonlySet<string>): boolean {
+    const after = [...new Set(event.after ?? [])].filter((job) => refs.has(job) && job !== event.job.ref);
+    if (after.length === 0) return false;
+    this.waiting.set(event.job.ref, { event, left: after.length });
+    for (const job of after) this.followers.set(job, [...(this.followers.get(job) ?? []), event.job.ref]);
+    return true;
+  }
+
+  private release(job: string): void {
+    const held = this.waiting.get(job);
+    if (held === undefined) return;
+    held.left -= 1;
+    if (held.left > 0) return;
+    this.stage.after(held.event.pauseUs ?? 0, () => {
+      if (!this.waiting.delete(job)) return;
+      this.play({ ...held.event, at: Math.round(this.stage.now) });
+    });
   }
 
   /** One event ahead is in the queue at a time: a day of a million would not fit. */
@@ -77,7 +118,7 @@
   }
 
   private step(): void {
-    for (let event = this.events[this.next]; event !== undefined; event = this.events[this.next]) {
+    for (let event = this.timeline[this.next]; event !== undefined; event = this.timeline[this.next]) {
       if (event.at > this.stage.now) {
         this.stage.after(event.at - this.stage.now, () => this.step());
         return;
@@ -95,6 +136,11 @@
         stage.submit(event.job, behaviourOf(event));
         break;
       case "abort":
+        if (this.waiting.delete(event.job)) {
+          // Withdrawn before its turn came: what waits for it goes on without it.
+          this.jobEnded(event.job);
+          break;
+        }
         if (!this.submitted.has(event.job)) {
           this.miss(event, event.job, "its job is not in the trace");
           return;
@@ -114,6 +160,7 @@
         stage.controllerEnd(event.controller, event.backAfterUs);
         break;
       case "task_end":
+      case "follows":
       case "machine_up":
         return;
       case "machine_down":
--- a/src/whatif/trace.ts
+++ b/src/whatif/trace.ts
@@ -174,7 +174,11 @@
   for (const event of order) {
     // One submission a job; anything else is the same event when all of it is.
     const key =
-      event.event === "submit" ? `submit/${event.job.ref}` : event.event === "task_end" ? null : JSON.stringify(event);
+      event.event === "submit"
+        ? `submit/${event.job.ref}`
+        : event.event === "task_end" || event.event === "follows"
+          ? null
+          : JSON.stringify(event);
     if (key !== null && seen.has(key)) {
       twice += 1;
       continue;
@@ -183,7 +187,20 @@
     events.push(event);
   }
   if (twice > 0) remark(`${twice} events stand twice: the first counts`);
-  return { events: withRunTimes(events) };
+  return { events: withOrder(withRunTimes(events)) };
+};
+
+/** `follows` tells what a job waited for: folded into its submission, where that says nothing of it. */
+const withOrder = (events: readonly TraceEvent[]): readonly TraceEvent[] => {
+  const told = new Map<string, { readonly after: readonly string[]; readonly pauseUs: number }>();
+  for (const event of events) if (event.event === "follows") told.set(event.job, event);
+  if (told.size === 0) return events;
+  return events.flatMap((event): TraceEvent[] => {
+    if (event.event === "follows") return [];
+    const order = event.event === "submit" && event.after === undefined ? told.get(event.job.ref) : undefined;
+    if (event.event !== "submit" || order === undefined) return [event];
+    return [{ ...event, after: order.after, pauseUs: order.pauseUs }];
+  });
 };
 
 /**
--- a/src/whatif/translate.ts
+++ b/src/whatif/translate.ts
@@ -17,6 +17,8 @@
       return { at, event: "submit", job: submissionOf(event.spec) as unknown as Submission };
     case "job cancelled":
       return { at, event: "abort", job: event.job };
+    case "job follows":
+      return { at, event: "follows", job: event.job, after: event.after, pauseUs: event.pause };
     case "task done":
       return { at, event: "task_end", job: event.job, index: event.index, ranUs: event.ran };
     case "refused": {
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -1,3 +1,4 @@
+import type { SiteEvent } from "../../src/bookkeeping/events.js";
 import { jobKey, readJob } from "../../src/bookkeeping/records.js";
 import { graphsWith } from "../../src/graphs/index.js";
 import {
@@ -100,6 +101,8 @@
   readonly checker: Checker;
   readonly errors: string[] = [];
   readonly log: string[] = [];
+  /** What controllers would record, on sites that take graphs. */
+  readonly seen: { readonly at: number; readonly event: SiteEvent }[] = [];
   /** Every start of a task, in order. */
   readonly begun: { readonly task: string; readonly at: number }[] = [];
   /** Machines of a kind that a zone holds, whatever their type. */
@@ -146,6 +149,7 @@
         return {
           witness,
           hearing,
+          ...(options.graphs ? { sink: (event: SiteEvent) => this.seen.push({ at: world.now, event }) } : {}),
           log: (level, at, event, fields) => {
             const text = JSON.stringify(fields, (_, value: unknown) =>
               typeof value === "bigint" ? String(value) : value,
