Graphs: what reads definitions loads with the first of them; bounds on names, pages and records; costs measured

An answer's line stays within 64 KiB whatever the names; a job too large for its record is refused at once, as a step and by itself (it was answered 503 for ever). Steps are held back where users are turned away.

--- a/src/commands/graph-files.ts
+++ b/src/commands/graph-files.ts
@@ -10,6 +10,9 @@
 /** Loaded only when it is used. */
 export const graphs = (): Promise<GraphsPackage> => import("../graphs/index.js");
 
+/** What reads definitions. */
+export const describing = async (): ReturnType<GraphsPackage["describing"]> => (await graphs()).describing();
+
 export interface RunFlags {
   readonly param: readonly string[];
   readonly ds?: string;
@@ -60,7 +63,7 @@
 const MOST_BYTES = 64 * 1_024 * 1_024;
 
 export const readGraph = async (file: string, flags: RunFlags): Promise<ReadGraph> => {
-  const { readText, readDocument, GraphError } = await graphs();
+  const { readText, readDocument, GraphError } = await describing();
   let text: string;
   try {
     if (statSync(file).size > MOST_BYTES) throw new CommandError(`${file}: larger than any graph`, true);
@@ -87,7 +90,7 @@
   id: string,
   flags: RunFlags,
 ): Promise<{ readonly plan: Plan; readonly read: ReadGraph }> => {
-  const { compile, GraphError } = await graphs();
+  const { compile, GraphError } = await describing();
   const read = await readGraph(file, flags);
   try {
     const words = { id, ds: flags.ds ?? today(), params: read.params };
--- a/src/commands/graph.ts
+++ b/src/commands/graph.ts
@@ -1,7 +1,7 @@
 import { writeFileSync } from "node:fs";
 import { type Command, InvalidArgumentError } from "commander";
 import { CommandError, collect, DONE, MISUSE, Progress, REFUSED, say, table } from "./cli.js";
-import { compileFile, FileProblems, graphs, type RunFlags, today } from "./graph-files.js";
+import { compileFile, describing, FileProblems, graphs, type RunFlags, today } from "./graph-files.js";
 
 interface JsonFlag {
   readonly json?: boolean;
@@ -33,7 +33,7 @@
     await run();
   } catch (error) {
     if (!(error instanceof FileProblems)) throw error;
-    const { placedText, problemText } = await graphs();
+    const { placedText, problemText } = await describing();
     if (json === true) {
       const problems = error.problems.map((one) => ({ line: one.line, column: one.column, message: problemText(one) }));
       say(JSON.stringify({ valid: false, problems }));
@@ -49,7 +49,7 @@
     .command("schema")
     .description("print the JSON schema of graph files")
     .addHelpText("after", example("rainridge graph schema > graph.schema.json"))
-    .action(async () => say(JSON.stringify((await graphs()).graphSchema, null, 2)));
+    .action(async () => say(JSON.stringify((await describing()).graphSchema, null, 2)));
 };
 
 const addCheck = (group: Command): void => {
--- a/src/commands/local.ts
+++ b/src/commands/local.ts
@@ -148,7 +148,7 @@
   const flags = { param: [], ...(options === undefined ? {} : { options }) };
   const { read, plan } = await files.compileFile(file, "dr-local", flags).catch(async (error: unknown) => {
     if (!(error instanceof files.FileProblems)) throw error;
-    const { placedText } = await files.graphs();
+    const { placedText } = await files.describing();
     const [first] = error.problems;
     throw new CommandError(first === undefined ? file : placedText(file, first));
   });
--- a/src/commands/whatif-graphs.ts
+++ b/src/commands/whatif-graphs.ts
@@ -1,4 +1,4 @@
-import type { GraphLoadResult, GraphShape } from "../whatif/index.js";
+import type { GraphCost, GraphLoadResult, GraphLoadSpec, GraphShape } from "../whatif/index.js";
 import { Progress, say, span, table } from "./cli.js";
 import { PROGRAM, withWhatif } from "./with-whatif.js";
 
@@ -10,8 +10,10 @@
   readonly writes: number;
   readonly run: number;
   readonly until: number;
+  readonly over: number;
   readonly seed: number;
   readonly loopback?: boolean;
+  readonly cost?: boolean;
   readonly port: number;
   readonly json?: boolean;
 }
@@ -30,23 +32,41 @@
   ["all writes a step", result.allWrites.toFixed(2)],
 ];
 
+const costRows = (cost: GraphCost): readonly (readonly string[])[] => [
+  ["runs", `${cost.graphs} of ${cost.steps} steps`],
+  ["compiled in", short(cost.compileUs)],
+  ["plan on record", `${cost.planBytes} bytes`],
+  [
+    "memory of all runs",
+    cost.heapBytes === null ? "needs node --expose-gc" : `${(cost.heapBytes / 1e6).toFixed(1)} MB`,
+  ],
+  ["processor time a step", `${cost.stepUs.toFixed(1)} µs`],
+  ["steps looked at, a step", cost.looksPerStep.toFixed(2)],
+];
+
 /** How long steps wait for each other's ends, and what they cost the state service. */
 export const graphLoad = (flags: GraphLoadFlags): Promise<void> =>
   withWhatif(async (whatif) => {
+    const spec: GraphLoadSpec = {
+      shape: flags.shape,
+      steps: flags.steps,
+      graphs: flags.graphs,
+      machines: flags.machines,
+      writesPerS: flags.writes,
+      runUs: flags.run,
+      untilUs: flags.until,
+      overUs: flags.over,
+      seed: flags.seed,
+      loopback: flags.loopback === true ? { port: flags.port, program: PROGRAM } : null,
+    };
+    if (flags.cost === true) {
+      const cost = await whatif.graphCost(spec);
+      say(flags.json === true ? JSON.stringify(cost) : table(["", flags.shape], costRows(cost)));
+      return;
+    }
     const progress = new Progress(true);
-    const result = await whatif.playGraphLoad(
-      {
-        shape: flags.shape,
-        steps: flags.steps,
-        graphs: flags.graphs,
-        machines: flags.machines,
-        writesPerS: flags.writes,
-        runUs: flags.run,
-        untilUs: flags.until,
-        seed: flags.seed,
-        loopback: flags.loopback === true ? { port: flags.port, program: PROGRAM } : null,
-      },
-      (now, ended) => progress.show(`${span(now)}: ${ended} of ${flags.graphs} ended`),
+    const result = await whatif.playGraphLoad(spec, (now, ended) =>
+      progress.show(`${span(now)}: ${ended} of ${flags.graphs} ended`),
     );
     progress.end();
     say(flags.json === true ? JSON.stringify(result) : table(["", `${flags.shape}`], rowsOf(result)));
--- a/src/commands/whatif.ts
+++ b/src/commands/whatif.ts
@@ -137,9 +137,11 @@
     .option("--writes <n>", "changes a second that the state service takes", wholeNumber, 30)
     .option("--run <time>", "a step's run time", duration, 1_000_000)
     .option("--until <time>", "end after this time", duration, 3_600_000_000)
+    .option("--over <time>", "submit the graphs evenly over this time instead of at once", duration, 0)
     .option("--seed <n>", "luck of delays", wholeNumber, 1)
     .option("--loopback", "real controllers on loopback instead of simulated ones")
     .option("--port <n>", "first port for that", wholeNumber, 7_600)
+    .option("--cost", "memory and processor time of the runs alone, in this process")
     .option("--json", "the result as JSON")
     .addHelpText("after", "\nExample:\n  rainridge whatif graphs --shape chain --steps 200 --writes 2000 --loopback")
     .action(async (flags: GraphLoadFlags) => (await import("./whatif-graphs.js")).graphLoad(flags));
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -25,6 +25,8 @@
 const STALE = seconds(4);
 /** Beyond this wait for the write budget a submission is better told to come back. */
 const MAX_BACKLOG = ms(1_500);
+/** What a job's record holds beside its specification. */
+const RECORD_BYTES = 100;
 const CANCEL_TRIES = 4;
 /** Users give up after a minute in all, so nobody is told to stay away for long. */
 const MOST_WAIT = seconds(10);
@@ -124,6 +126,11 @@
     if (view.entries.has(jobKey(spec.id)) || this.ends.has(spec.id)) return this.status(spec.id);
     const never = neverRuns(spec, this.services.settings, this.types);
     if (never !== null) return answer(422, { error: never });
+    // The state service would refuse the record however often it is sent.
+    const { valueBytes } = this.services.settings.state;
+    if (body.length > valueBytes / 2 && formatJson(spec).length + RECORD_BYTES > valueBytes) {
+      return answer(400, { error: "job: too large" });
+    }
     if (overload.atLeast("full") || view.entries.has(fullKey(homeBlock(spec.team)))) {
       return comeBack("overloaded", OVERLOAD_WAIT_S);
     }
--- a/src/graphs/description/compile.ts
+++ b/src/graphs/description/compile.ts
@@ -1,5 +1,5 @@
 import { Malformed } from "../../protocol/json.js";
-import { isJobId, type JobSpec, readSubmission } from "../../protocol/user.js";
+import { readSubmission } from "../../protocol/user.js";
 import type { GraphOptions } from "../../settings/graph-options.js";
 import type { Plan, Step, StepKind, WeightRule } from "../run/plan.js";
 import type { TriggerRule } from "../run/rules.js";
@@ -332,9 +332,3 @@
     return direct.filter((name) => !reached.has(name));
   }
 }
-
-/** The specification of a step's job under the given id. */
-export const specOf = (plan: Plan, step: Step, ref: string): JobSpec => {
-  if (step.job === null || !isJobId(ref)) throw new Error(`step ${step.id} has no job`);
-  return readSubmission({ ...plan.jobs[step.job], ref });
-};
--- a/src/graphs/description/flatten.ts
+++ b/src/graphs/description/flatten.ts
@@ -40,6 +40,7 @@
 };
 
 const MOST_DEPTH = 20;
+const MOST_NAME = 200;
 
 /** Takes groups and defaults apart; problems are added to the list. */
 export const flatten = (graph: GraphDocument, problems: Problem[], mostTasks: number): Flat => {
@@ -70,6 +71,8 @@
       if (tasks.size > mostTasks) break;
       const id = `${prefix}${document.task_id}`;
       const here = [...path, "tasks", at];
+      if (id.length > MOST_NAME)
+        problems.push({ path: [...here, "task_id"], message: `longer than ${MOST_NAME}, groups included` });
       if (!claim(id, [...here, "task_id"])) continue;
       tasks.set(id, { id, path: here, document, args: merge(args, argsOf(document)) });
       members.push(id);
--- a/src/graphs/service/door.ts
+++ b/src/graphs/service/door.ts
@@ -1,7 +1,6 @@
 import { gunzipSync, gzipSync } from "node:zlib";
 import { sha256 } from "@noble/hashes/sha2.js";
 import { bytesToHex } from "@noble/hashes/utils.js";
-import { Ajv } from "ajv";
 import { homeBlock } from "../../bookkeeping/records.js";
 import type { Services } from "../../coordination/context.js";
 import { neverRuns } from "../../coordination/decisions/eligibility.js";
@@ -12,12 +11,13 @@
 import { ms } from "../../transport/clock.js";
 import type { Request, Response } from "../../transport/http.js";
 import { describeError } from "../../transport/log.js";
-import { compile, specOf } from "../description/compile.js";
-import { readDocument } from "../description/document.js";
 import { GraphError, problemText } from "../description/problem.js";
+import type { Part, Submission } from "../description/requests.js";
 import { MOST_CLEARINGS, tryOf } from "../run/dag-run.js";
 import { encodePlan, type Plan } from "../run/plan.js";
+import { specOf } from "../run/spec.js";
 import { type FinalState, STATES, type StepState } from "../run/states.js";
+import { describing } from "./describing.js";
 import { Glimpses, type RunStates } from "./glimpses.js";
 import { loadPlan, loadSaved } from "./loading.js";
 import {
@@ -46,13 +46,13 @@
 import { closure, LARGE_RUN } from "./runner.js";
 
 const MOST_BACKLOG = ms(1_500);
-const MOST_PARTS = 256;
 /** Of a definition put together from its parts. */
 const MOST_BODY = 4 * 1_024 * 1_024;
 /** A plan up to this many characters lies in the header, and comes to all controllers with it. */
 const INLINE = 3_000;
-const STEPS_PAGE = 200;
-const RUNS_PAGE = 200;
+/** No line of an answer may exceed 64 KiB, with names as long as they may be. */
+const STEPS_PAGE = 150;
+const RUNS_PAGE = 100;
 const TRIES = 4;
 const BUSY_S = 5;
 const FULL_S = 30;
@@ -67,55 +67,6 @@
   retryAfterS,
 });
 
-interface Submission {
-  readonly ref: string;
-  readonly graph: unknown;
-  readonly params?: Readonly<Record<string, unknown>>;
-  readonly ds?: string;
-}
-
-interface Part {
-  readonly ref: string;
-  readonly part: number;
-  readonly parts: number;
-  readonly text: string;
-}
-
-const ajv = new Ajv();
-const ref = { type: "string" } as const;
-const isSubmission = ajv.compile<Submission>({
-  type: "object",
-  required: ["ref", "graph"],
-  properties: {
-    ref,
-    graph: { type: "object" },
-    params: { type: "object" },
-    ds: { type: "string", pattern: "^\\d{4}-\\d{2}-\\d{2}$" },
-  },
-});
-const isPart = ajv.compile<Part>({
-  type: "object",
-  required: ["ref", "part", "parts", "text"],
-  properties: {
-    ref,
-    part: { type: "integer", minimum: 0 },
-    parts: { type: "integer", minimum: 1, maximum: MOST_PARTS },
-    text: { type: "string" },
-  },
-});
-const isClear = ajv.compile<{ readonly step: string; readonly downstream?: boolean }>({
-  type: "object",
-  required: ["step"],
-  properties: { step: { type: "string" }, downstream: { type: "boolean" } },
-});
-
-const complaint = (validate: typeof isSubmission | typeof isPart | typeof isClear): string => {
-  const [error] = validate.errors ?? [];
-  const missing: unknown = error?.params.missingProperty;
-  if (typeof missing === "string") return `${missing}: missing`;
-  return `${error?.instancePath.slice(1).replaceAll("/", ".") || "body"}: ${error?.message ?? "invalid"}`;
-};
-
 /** Fields in one order, so that a repetition that was written anew is still the same. */
 const canonical = (value: unknown): string =>
   JSON.stringify(value, (_, inner: unknown) => {
@@ -180,10 +131,11 @@
 
   private async submit(body: string): Promise<Response> {
     const value = parseJson(body);
+    const { isPart, isSubmission, whyNot } = await describing();
     if (typeof value === "object" && value !== null && "part" in value) {
-      return isPart(value) ? this.takePart(value) : refuse(400, complaint(isPart));
+      return isPart(value) ? this.takePart(value) : refuse(400, whyNot(isPart));
     }
-    return isSubmission(value) ? this.take(value) : refuse(400, complaint(isSubmission));
+    return isSubmission(value) ? this.take(value) : refuse(400, whyNot(isSubmission));
   }
 
   /** `parts`: keys of what it was put together from. */
@@ -201,6 +153,7 @@
     let runs = 0;
     for (const key of view.entries.keys()) if (graphOfKey(key) !== null) runs += 1;
     if (runs >= this.options.mostRuns) return comeBack(`${runs} graphs are under way, which is the limit`, FULL_S);
+    const { compile, readDocument } = await describing();
     const document = readDocument(graph);
     const plan = compile(document, { id, ds: ds ?? this.today(), params }, this.options);
     const never = this.neverRuns(plan);
@@ -219,7 +172,12 @@
     for (const step of plan.steps) {
       if (step.job === null || checked.has(step.job)) continue;
       checked.add(step.job);
-      const never = neverRuns(specOf(plan, step, "wk-step"), this.services.settings, this.types);
+      const spec = specOf(plan, step, "wk-step");
+      // Beside the specification a record holds the id, the graph's and counts of failures.
+      if (JSON.stringify(spec).length + 400 > this.services.settings.state.valueBytes) {
+        return `step ${step.id}: its job is too large for a record`;
+      }
+      const never = neverRuns(spec, this.services.settings, this.types);
       if (never !== null) return `step ${step.id}: ${never}`;
     }
     return null;
@@ -331,7 +289,8 @@
       whole += gunzipSync(Buffer.from(one.text, "base64"), { maxOutputLength: left + 65_536 }).toString("utf8");
     }
     const submission = parseJson(whole);
-    if (!isSubmission(submission)) return refuse(400, complaint(isSubmission));
+    const { isSubmission, whyNot } = await describing();
+    if (!isSubmission(submission)) return refuse(400, whyNot(isSubmission));
     if (submission.ref !== id) return refuse(400, "ref: differs between the parts and what they hold");
     log.info("graph complete", { run: id, parts, bytes: whole.length });
     return this.take(
@@ -470,7 +429,8 @@
 
   private async clear(id: string, body: string): Promise<Response> {
     const value = parseJson(body);
-    if (!isClear(value)) return refuse(400, complaint(isClear));
+    const { isClear, whyNot } = await describing();
+    if (!isClear(value)) return refuse(400, whyNot(isClear));
     const { step, downstream = true } = value;
     for (let tries = 0; tries < TRIES; tries += 1) {
       const found = await this.find(id);
--- a/src/graphs/service/records.ts
+++ b/src/graphs/service/records.ts
@@ -121,7 +121,7 @@
 const BYTES_PER_STEP = 1.6;
 const MOST_SEGMENT = 4_096;
 export const segmentSize = (valueBytes: number): number =>
-  Math.max(64, Math.min(MOST_SEGMENT, Math.floor((valueBytes * 0.9) / BYTES_PER_STEP / 32) * 32));
+  Math.max(64, Math.min(MOST_SEGMENT, Math.floor((valueBytes * 0.8) / BYTES_PER_STEP / 32) * 32));
 
 export const writeSegments = (
   steps: number,
--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -8,10 +8,10 @@
 import type { GraphOptions } from "../../settings/graph-options.js";
 import { type Micros, ms, seconds } from "../../transport/clock.js";
 import { describeError } from "../../transport/log.js";
-import { specOf } from "../description/compile.js";
 import { DagRun, MOST_CLEARINGS, type PastRun, tryOf } from "../run/dag-run.js";
 import type { Plan, Step } from "../run/plan.js";
 import { type Limits, planLimits } from "../run/retry.js";
+import { specOf } from "../run/spec.js";
 import { isOpen, STATES } from "../run/states.js";
 import { downstreamOf, ownOrder } from "../run/weights.js";
 import { JobNotes } from "./job-notes.js";
@@ -486,9 +486,10 @@
 
   /** One step of each run in turn, as many as a few transactions take: the others' writes come in between. */
   private pump(): void {
-    const { settings, lease } = this.context;
+    const { settings, lease, overload } = this.context;
     const most = settings.state.transactionWrites * IN_FLIGHT;
-    if (!lease.valid()) return;
+    // What users are turned away from, steps are kept from, too; what is ready waits for the next tick.
+    if (!lease.valid() || overload.atLeast("full")) return;
     for (const run of this.ring) {
       if (this.inFlight >= most || this.stopped) return;
       this.ring.delete(run);
--- a/src/whatif/graph-load.ts
+++ b/src/whatif/graph-load.ts
@@ -1,6 +1,6 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { jobKey, readJob } from "../bookkeeping/records.js";
-import { compile, graphsWith, type Plan, partsOfJobId, readDocument } from "../graphs/index.js";
+import { describing, graphsWith, type Plan, partsOfJobId } from "../graphs/index.js";
 import {
   type Behaviour,
   HostClock,
@@ -30,6 +30,8 @@
   readonly writesPerS: number;
   readonly runUs: number;
   readonly untilUs: number;
+  /** The graphs are submitted evenly over this time. */
+  readonly overUs: number;
   readonly seed: number;
   /** Real controllers on loopback sockets with a fast stand-in of the state service, or simulated ones. */
   readonly loopback: { readonly port: number; readonly program: string } | null;
@@ -100,6 +102,14 @@
   }
 };
 
+/** A definition of the shape, as its planner would write it. */
+export const graphFor = (spec: GraphLoadSpec): Readonly<Record<string, unknown>> => ({
+  dag_id: spec.shape,
+  owner: "work",
+  default_args: { job: job(spec) },
+  tasks: tasksOf(spec),
+});
+
 const siteOf = (spec: GraphLoadSpec): SiteSpec => {
   const zones = ["east", "west"];
   const type = { name: "m16", cpus: 16, gpus: 0, ramGb: 64, cacheGb: 40, fetchGbPerS: 10 };
@@ -208,17 +218,17 @@
   }
 };
 
-const OPTIONS: GraphOptions = { ...DEFAULT_GRAPHS, mostOpen: 400 };
+export const LOAD_OPTIONS: GraphOptions = { ...DEFAULT_GRAPHS, mostOpen: 400 };
 
 /** Plays graphs of a shape to their end, or to the given time. Repeatable where it is simulated. */
 export const playGraphLoad = async (
   spec: GraphLoadSpec,
   progress: (now: number, ended: number) => void = () => undefined,
 ): Promise<GraphLoadResult> => {
-  const tasks = tasksOf(spec);
-  const graph = { dag_id: spec.shape, owner: "work", default_args: { job: job(spec) }, tasks };
+  const graph = graphFor(spec);
   const ids = Array.from({ length: spec.graphs }, (_, at) => `dr-${at}`);
-  const plan = compile(readDocument(graph), { id: "dr-0", ds: "2026-01-01", params: {} }, OPTIONS);
+  const { compile, readDocument } = await describing();
+  const plan = compile(readDocument(graph), { id: "dr-0", ds: "2026-01-01", params: {} }, LOAD_OPTIONS);
   const textOf = (ref: string): string => JSON.stringify({ ref, ds: "2026-01-01", graph });
   const described = (value: unknown): Behaviour | null => {
     if (value === undefined) return null;
@@ -266,9 +276,9 @@
   };
   const site = new Site({
     spec: siteOf(spec),
-    options: { ...DEFAULT_OPTIONS, graphs: OPTIONS },
+    options: { ...DEFAULT_OPTIONS, graphs: LOAD_OPTIONS },
     seed: spec.seed,
-    extension: graphsWith(OPTIONS),
+    extension: graphsWith(LOAD_OPTIONS),
     watch: (world) => {
       const watch = new Watch(plan, () => world.now);
       books.push(watch);
@@ -288,10 +298,11 @@
   };
   const pause = (us: number): Promise<void> => new Promise((resolve) => site.world.after(us, resolve));
   const faults: unknown[] = [];
-  site.world.at(3 * S, () => {
-    for (const [at, id] of ids.entries())
+  for (const [at, id] of ids.entries()) {
+    site.world.at(3 * S + (spec.overUs * at) / ids.length, () => {
       submit(ask, pause, textOf(id), id, at).catch((error: unknown) => faults.push(error));
-  });
+    });
+  }
   for (let now = S; now <= spec.untilUs && watch.ended.size < ids.length; now += S) {
     await site.world.run(now, () => undefined);
     if (faults.length > 0) throw faults[0];
@@ -319,7 +330,7 @@
   };
   const site = await LocalSite.start({
     spec: siteOf(spec),
-    options: { ...DEFAULT_OPTIONS, graphs: OPTIONS },
+    options: { ...DEFAULT_OPTIONS, graphs: LOAD_OPTIONS },
     seed: spec.seed,
     port,
     speed: 1,
@@ -346,7 +357,11 @@
     };
     const pause = (us: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, us / 1_000));
     const begun = site.timeline.now;
-    for (const [at, id] of ids.entries()) await submit(ask, pause, textOf(id), id, at);
+    const sent = ids.map(async (id, at) => {
+      await pause((spec.overUs * at) / ids.length);
+      await submit(ask, pause, textOf(id), id, at);
+    });
+    await Promise.all(sent);
     while (watch.ended.size < ids.length && site.timeline.now - begun < spec.untilUs) {
       await pause(S / 10);
       progress(site.timeline.now - begun, watch.ended.size);
--- a/src/whatif/index.ts
+++ b/src/whatif/index.ts
@@ -5,6 +5,7 @@
 export { replayFaithfully } from "./faithful.js";
 export { replayFast } from "./fast.js";
 export * from "./format.js";
+export { type GraphCost, graphCost } from "./graph-cost.js";
 export {
   GRAPH_SHAPES,
   type GraphLoadResult,
--- a/test/graph-days.test.ts
+++ b/test/graph-days.test.ts
@@ -1,14 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  compile,
-  GraphError,
-  type Outcome,
-  type Plan,
-  partsOfJobId,
-  planLimits,
-  readDocument,
-} from "../src/graphs/index.js";
+import { describing, type Outcome, type Plan, partsOfJobId, planLimits } from "../src/graphs/index.js";
 import { Random, S } from "../src/model/index.js";
 import { randomPlan } from "./graph-fixtures.js";
 import { bruteForce } from "./graph-rules.js";
@@ -16,6 +8,8 @@
 import { GRAPH_OPTIONS, GraphSite, JOB_FIELDS } from "./sim/graph-site.js";
 import { trouble } from "./sim/troubles.js";
 
+const { compile, GraphError, readDocument } = await describing();
+
 /** Many more are run by hand: RAINRIDGE_GRAPH_SEEDS=1000 (docs/results.md). */
 const SEEDS = Number(process.env.RAINRIDGE_GRAPH_SEEDS ?? 12);
 const FROM = Number(process.env.RAINRIDGE_FROM ?? 1);
--- a/test/graph-description.test.ts
+++ b/test/graph-description.test.ts
@@ -1,17 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  compile,
-  decodePlan,
-  encodePlan,
-  GraphError,
-  type Plan,
-  placedText,
-  readDocument,
-  readText,
-  TemplateError,
-  Templates,
-} from "../src/graphs/index.js";
+import { decodePlan, describing, encodePlan, type Plan } from "../src/graphs/index.js";
+
+const { compile, GraphError, placedText, readDocument, readText, TemplateError, Templates } = await describing();
 
 const BOUNDS = { mostSteps: 20_000, pools: { gate: 2 } };
 const HEAD = `dag_id: night
--- a/test/sim/graph-site.ts
+++ b/test/sim/graph-site.ts
@@ -1,9 +1,13 @@
+import { describing } from "../../src/graphs/index.js";
 import { HostClock, S } from "../../src/model/index.js";
 import { DEFAULT_GRAPHS, type GraphOptions } from "../../src/settings/graph-options.js";
 import type { Micros } from "../../src/transport/clock.js";
 import { CLASS, JOB } from "../graph-fixtures.js";
 import { Cluster } from "./cluster.js";
 
+// Loaded beforehand: no simulated clock waits for files to be read.
+await describing();
+
 export const { owner: _owner, ...JOB_FIELDS } = JOB;
 export const GRAPH_OPTIONS: GraphOptions = { ...DEFAULT_GRAPHS, otherClasses: CLASS, pools: { gate: 2 } };
 
