Graphs: a run that timed out stops its jobs also where its holder knows of it before its view does

The holder wrote the timeout and took it in at once, while whether a job is withdrawn is read from the view, which lags by a watch: nothing was swept then, nor later, as the view's header brought nothing new. Steps ran on until they ended by themselves.

--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -149,8 +149,21 @@
     if (this.stopped) return;
     const id = graphOfKey(change.key);
     if (id === null) this.jobSeen(change);
-    else if (change.kind === "put") this.seen(id, change.value, change.version);
-    else this.drop(id);
+    else if (change.kind === "delete") this.drop(id);
+    else {
+      this.seen(id, change.value, change.version);
+      this.sweep(id);
+    }
+  }
+
+  /**
+   * Whether a job is withdrawn is told by the view's header. A run's own timeout is known here before the view has it:
+   * its jobs were not swept then, and not later either, since the header brought nothing new.
+   */
+  private sweep(id: string): void {
+    const run = this.runs.get(id);
+    if (run === undefined || !(run.header.aborted || run.header.timedOut)) return;
+    this.doors.sweepWithdrawn(run.open.values());
   }
 
   /** A submission of which there was no answer may turn up here, long after it was given up for lost. */
@@ -253,7 +266,7 @@
     const { aborted, timedOut } = run.header;
     if ((aborted || timedOut) && !engine.isHalted) {
       engine.halt();
-      this.doors.sweepWithdrawn(run.open.values());
+      this.sweep(run.id);
     }
     this.moved(run);
   }
