--- /dev/null
+++ b/src/graphs/run/closure.ts
@@ -0,0 +1,18 @@
+import type { Plan } from "./plan.js";
+import { downstreamOf } from "./weights.js";
+
+/** These steps, and with `downstream` all that come after them. */
+export const closure = (plan: Plan, steps: readonly number[], downstream: boolean): ReadonlySet<number> => {
+  const found = new Set(steps);
+  if (!downstream) return found;
+  const below = downstreamOf(plan);
+  const work = [...steps];
+  for (let at = work.pop(); at !== undefined; at = work.pop()) {
+    for (const down of below[at] ?? []) {
+      if (found.has(down)) continue;
+      found.add(down);
+      work.push(down);
+    }
+  }
+  return found;
+};
--- a/src/graphs/service/door.ts
+++ b/src/graphs/service/door.ts
@@ -13,6 +13,7 @@
 import { describeError } from "../../transport/log.js";
 import { GraphError, problemText } from "../description/problem.js";
 import type { Part, Submission } from "../description/requests.js";
+import { closure } from "../run/closure.js";
 import { MOST_CLEARINGS, tryOf } from "../run/dag-run.js";
 import { encodePlan, type Plan } from "../run/plan.js";
 import { specOf } from "../run/spec.js";
@@ -43,7 +44,7 @@
   uploadKey,
   writeSegments,
 } from "./records.js";
-import { closure, LARGE_RUN } from "./runner.js";
+import { LARGE_RUN } from "./run-writes.js";
 
 const MOST_BACKLOG = ms(1_500);
 /** Of a part in one transaction. */
@@ -535,7 +536,7 @@
     const states = await this.endedStates(id, ended);
     if (states === null) return comeBack("state service unavailable");
     const { header } = ended;
-    const cleared = closure(plan, clear);
+    const cleared = closure(plan, clear.steps, clear.downstream);
     const round = header.round + 1;
     const clearings = new Map(states.clearings);
     for (const at of cleared) clearings.set(at, round);
--- /dev/null
+++ b/src/graphs/service/run-writes.ts
@@ -0,0 +1,192 @@
+import type { BlockContext } from "../../coordination/context.js";
+import type { Whole } from "../../protocol/json.js";
+import type { Write } from "../../protocol/state.js";
+import { ms, seconds } from "../../transport/clock.js";
+import { describeError } from "../../transport/log.js";
+import { closure } from "../run/closure.js";
+import { type DagRun, MOST_CLEARINGS } from "../run/dag-run.js";
+import { STATES } from "../run/states.js";
+import type { LiveRun } from "./live-run.js";
+import {
+  type Clear,
+  endedKey,
+  graphKey,
+  type Header,
+  type RunEnd,
+  segmentKey,
+  summaryKey,
+  writeSegments,
+} from "./records.js";
+
+const RETRY = ms(300);
+/** Larger runs have their counts on record for the controllers that do not hold them. */
+export const LARGE_RUN = 500;
+const SUMMARY_PERIOD = seconds(3);
+
+/** What the writes of runs need of whoever takes the runs forward. */
+export interface RunsAround {
+  /** The header is on record like this; the view may not have it yet. */
+  readonly seen: (id: string, value: unknown, version: Whole) => void;
+  readonly drop: (id: string) => void;
+  /** Something may be to be done for the run, if it is still there. */
+  readonly moved: (run: LiveRun) => void;
+  /** Brings what runs and what waits up to date in the run's states. */
+  readonly refresh: (id: string) => void;
+}
+
+/** What a run has on record of its own beside its jobs: its end, clearings, its timeout, counts. One write at a time. */
+export class RunWrites {
+  constructor(
+    private readonly context: BlockContext,
+    private readonly around: RunsAround,
+  ) {}
+
+  private conditions(run: LiveRun): Map<string, Whole> {
+    const { lease } = this.context;
+    return new Map([
+      [lease.key, lease.version],
+      [graphKey(run.id), run.version],
+    ]);
+  }
+
+  private nowMs(): number {
+    return Math.round(this.context.wall?.() ?? 0);
+  }
+
+  async finish(run: LiveRun, engine: DagRun): Promise<void> {
+    if (run.writing) return;
+    run.writing = true;
+    try {
+      const { header } = run;
+      const result = engine.result ?? "failed";
+      const phase: RunEnd = header.aborted ? "withdrawn" : header.timedOut ? "failed" : result;
+      const saved = run.loaded?.saved.clearings ?? new Map<number, number>();
+      const segments = writeSegments(header.steps, header.segment, engine.finals(), saved);
+      const counts = Object.fromEntries(
+        STATES.flatMap((state) => (engine.count(state) > 0 ? [[state, engine.count(state)]] : [])),
+      );
+      const [only] = segments;
+      const one = segments.length === 1 && only !== undefined;
+      if (!one && !(await this.writeSegments(run, segments))) return;
+      const value = { header, phase, counts, endedMs: this.nowMs(), states: one ? only : null };
+      const writes: Write[] = [
+        { kind: "put", key: endedKey(run.id), value },
+        { kind: "delete", key: graphKey(run.id) },
+      ];
+      if (run.summed !== "") writes.push({ kind: "delete", key: summaryKey(run.id) });
+      const written = await this.context.committer.propose(
+        this.conditions(run).set(endedKey(run.id), 0),
+        writes,
+        "work",
+      );
+      if (written.kind !== "ok") {
+        this.refused(run, written.kind === "conflict" ? written.keys : []);
+        return;
+      }
+      this.context.log.info("run ended", { run: run.id, phase, ...counts });
+      this.around.drop(run.id);
+    } finally {
+      run.writing = false;
+    }
+  }
+
+  private refused(run: LiveRun, keys: readonly string[]): void {
+    const { lease, view, clock } = this.context;
+    if (keys.includes(lease.key)) {
+      this.context.fenced();
+      return;
+    }
+    void this.guard(view.sync());
+    clock.after(RETRY, () => {
+      this.around.moved(run);
+    });
+  }
+
+  private async writeSegments(run: LiveRun, segments: readonly unknown[]): Promise<boolean> {
+    const writes = segments.map((value, at): Write => ({ kind: "put", key: segmentKey(run.id, at), value }));
+    const written = await this.context.committer.propose(this.conditions(run), writes, "work");
+    if (written.kind === "ok") return true;
+    this.refused(run, written.kind === "conflict" ? written.keys : []);
+    return false;
+  }
+
+  /** Carries out a clearing that is on record: what is not cleared stays as it is, whatever the others come to. */
+  async clear(run: LiveRun, engine: DagRun, clear: Clear): Promise<void> {
+    if (run.writing || run.loaded === null) return;
+    run.writing = true;
+    try {
+      const { header } = run;
+      const cleared = closure(engine.plan, clear.steps, clear.downstream);
+      const round = Math.min(MOST_CLEARINGS, header.round + 1);
+      const finals = [...engine.finals()].filter(([at]) => !cleared.has(at));
+      const clearings = new Map(run.loaded.saved.clearings);
+      for (const at of cleared) clearings.set(at, round);
+      const writes: Write[] = writeSegments(header.steps, header.segment, finals, clearings).map((value, at) => ({
+        kind: "put",
+        key: segmentKey(run.id, at),
+        value,
+      }));
+      const value: Header = { ...header, round, clear: null };
+      writes.push({ kind: "put", key: graphKey(run.id), value });
+      const written = await this.context.committer.propose(this.conditions(run), writes, "work");
+      if (written.kind !== "ok") {
+        this.refused(run, written.kind === "conflict" ? written.keys : []);
+        return;
+      }
+      this.context.log.info("steps cleared", { run: run.id, steps: cleared.size, round });
+      this.around.seen(run.id, value, written.version);
+    } finally {
+      run.writing = false;
+    }
+  }
+
+  /** By the time of day where there is one, since a run may outlive many holders. */
+  timeOut(run: LiveRun, engine: DagRun): void {
+    const { timeoutS } = engine.plan;
+    const { header } = run;
+    if (timeoutS === null || header.timedOut || header.aborted || run.writing || header.clear !== null) return;
+    const now = this.nowMs();
+    const passed =
+      now > 0 && header.acceptedMs > 0 ? now - header.acceptedMs : (this.context.clock.now() - run.seenAt) / 1_000;
+    if (passed < timeoutS * 1_000) return;
+    run.writing = true;
+    const value: Header = { ...header, timedOut: true };
+    const write: Write = { kind: "put", key: graphKey(run.id), value };
+    void this.guard(
+      this.context.committer.propose(this.conditions(run), [write], "cancel").then((written) => {
+        run.writing = false;
+        if (written.kind === "ok") this.around.seen(run.id, value, written.version);
+        else this.refused(run, written.kind === "conflict" ? written.keys : []);
+      }),
+    );
+  }
+
+  summarize(run: LiveRun, engine: DagRun): void {
+    const { clock, committer, lease } = this.context;
+    if (run.header.steps < LARGE_RUN || run.writing || clock.now() - run.summedAt < SUMMARY_PERIOD) return;
+    this.around.refresh(run.id);
+    const counts = STATES.map((state) => engine.count(state));
+    const text = counts.join();
+    if (text === run.summed) return;
+    run.summed = text;
+    run.summedAt = clock.now();
+    const write: Write = { kind: "put", key: summaryKey(run.id), value: counts };
+    void this.guard(
+      committer.propose(
+        new Map([
+          [lease.key, lease.version],
+          [graphKey(run.id), run.version],
+        ]),
+        [write],
+        "note",
+      ),
+    );
+  }
+
+  private guard(work: Promise<unknown>): Promise<void> {
+    return work.then(
+      () => undefined,
+      (error: unknown) => this.context.log.error("run not written", { error: describeError(error) }),
+    );
+  }
+}
--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -2,36 +2,25 @@
 import type { BlockContext } from "../../coordination/context.js";
 import type { BlockDoors, Holding } from "../../coordination/extension.js";
 import type { Whole } from "../../protocol/json.js";
-import type { Change, Write } from "../../protocol/state.js";
+import type { Change } from "../../protocol/state.js";
 import type { JobSpec } from "../../protocol/user.js";
 import type { ExitReason } from "../../protocol/worker.js";
 import type { GraphOptions } from "../../settings/graph-options.js";
-import { type Micros, ms, seconds } from "../../transport/clock.js";
+import { type Micros, ms } from "../../transport/clock.js";
 import { describeError } from "../../transport/log.js";
-import { DagRun, MOST_CLEARINGS, type PastRun, tryOf } from "../run/dag-run.js";
+import { DagRun, type PastRun, tryOf } from "../run/dag-run.js";
 import type { Plan, Step } from "../run/plan.js";
-import { type Limits, planLimits } from "../run/retry.js";
+import { planLimits } from "../run/retry.js";
 import { specOf } from "../run/spec.js";
-import { isOpen, STATES } from "../run/states.js";
-import { downstreamOf, ownOrder } from "../run/weights.js";
+import { isOpen } from "../run/states.js";
+import { ownOrder } from "../run/weights.js";
 import { JobNotes } from "./job-notes.js";
-import { type Loaded, loadRun, pastOf } from "./loading.js";
+import { dagOf, type LiveRun, newRun } from "./live-run.js";
+import { loadRun, pastOf } from "./loading.js";
 import { PastRuns } from "./past-runs.js";
-import {
-  type Clear,
-  endedKey,
-  graphKey,
-  graphOfKey,
-  type Header,
-  jobIdOf,
-  outcomeOf,
-  partsOfJobId,
-  type RunEnd,
-  readHeader,
-  segmentKey,
-  summaryKey,
-  writeSegments,
-} from "./records.js";
+import { Pools } from "./pools.js";
+import { graphKey, graphOfKey, jobIdOf, outcomeOf, partsOfJobId, readHeader } from "./records.js";
+import { RunWrites } from "./run-writes.js";
 import { Uploads } from "./uploads.js";
 
 const TICK = ms(500);
@@ -39,53 +28,18 @@
 const IN_FLIGHT = 2;
 const LOADING = 4;
 const RETRY = ms(300);
-/** Larger runs have their counts on record for the controllers that do not hold them. */
-export const LARGE_RUN = 500;
-const SUMMARY_PERIOD = seconds(3);
-
-interface LiveRun {
-  readonly id: string;
-  header: Header;
-  version: Whole;
-  /** May have steps under way: not more than `max_active_runs` of its DAG may. */
-  active: boolean;
-  loading: boolean;
-  loaded: Loaded | null;
-  engine: DagRun | null;
-  limits: readonly Limits[];
-  order: Uint32Array;
-  /** Jobs of open steps. */
-  readonly open: Map<number, string>;
-  /** Steps whose job is being submitted. */
-  readonly starting: Set<number>;
-  /** Steps that hold a slot of a pool. */
-  readonly pooled: Map<number, string>;
-  /** Running time of the present attempt, where that is limited. */
-  readonly spent: Map<number, Micros>;
-  timed: boolean;
-  writing: boolean;
-  settling: boolean;
-  /** What has ended while the run was being loaded. */
-  late: (() => void)[];
-  summed: string;
-  summedAt: Micros;
-  readonly seenAt: Micros;
-}
-
-const dagOf = ({ owner, dag }: Header): string => JSON.stringify([owner, dag]);
 
 /** Takes the runs of a block forward for as long as this process holds the block. */
 export class Runner implements Holding {
   private readonly runs = new Map<string, LiveRun>();
   private readonly dags = new Map<string, Set<LiveRun>>();
-  private readonly poolUse = new Map<string, number>();
   /** Runs with steps to submit, each in turn. */
   private readonly ring = new Set<LiveRun>();
   private readonly toLoad = new Set<LiveRun>();
   /** By run, the one of its DAG that was accepted next, where that depends on it. */
   private readonly followers = new Map<string, LiveRun>();
-  /** By pool without a free slot, the runs that have a step for it, in the order in which they asked. */
-  private readonly poolQueues = new Map<string, Set<LiveRun>>();
+  private readonly pools: Pools;
+  private readonly writes: RunWrites;
   private readonly notes: JobNotes;
   private readonly uploads: Uploads;
   private readonly past: PastRuns;
@@ -108,6 +62,15 @@
       (id) => this.runs.get(id)?.engine ?? null,
       (id) => this.runs.has(id),
     );
+    this.pools = new Pools(options.pools, (run) => this.ring.add(run));
+    this.writes = new RunWrites(context, {
+      seen: (id, value, version) => this.seen(id, value, version),
+      drop: (id) => this.drop(id),
+      moved: (run) => {
+        if (this.runs.get(run.id) === run) this.moved(run);
+      },
+      refresh: (id) => this.stateOf(id),
+    });
     this.tickedAt = context.clock.now();
     for (const [key, entry] of context.view.entries) {
       const id = graphOfKey(key);
@@ -180,7 +143,7 @@
   /** The step's job is there, though the step was not known to be submitted. */
   private adopt(run: LiveRun, engine: DagRun, step: number, attempt: number, job: string): void {
     if (engine.stateOf(step) !== "scheduled" || engine.nextAttempt(step) !== attempt) return;
-    this.pool(run, step);
+    this.pools.take(run, step);
     this.opened(run, engine, step, attempt, job);
   }
 
@@ -223,28 +186,7 @@
     if (header.block !== this.context.lease.block) return;
     const known = this.runs.get(id);
     if (known === undefined) {
-      const run: LiveRun = {
-        id,
-        header,
-        version,
-        active: false,
-        loading: false,
-        loaded: null,
-        engine: null,
-        limits: [],
-        order: new Uint32Array(0),
-        open: new Map(),
-        starting: new Set(),
-        pooled: new Map(),
-        spent: new Map(),
-        timed: false,
-        writing: false,
-        settling: false,
-        late: [],
-        summed: "",
-        summedAt: this.context.clock.now(),
-        seenAt: this.context.clock.now(),
-      };
+      const run = newRun(id, header, version, this.context.clock.now());
       this.runs.set(id, run);
       if (header.before !== null) this.followers.set(header.before, run);
       const dag = this.dags.get(dagOf(header)) ?? new Set();
@@ -276,10 +218,9 @@
     if (run === undefined) return;
     this.runs.delete(id);
     this.ring.delete(run);
-    for (const queue of this.poolQueues.values()) queue.delete(run);
     if (run.header.before !== null) this.followers.delete(run.header.before);
     this.toLoad.delete(run);
-    this.unpool(run);
+    this.pools.forget(run);
     run.engine = null;
     this.past.forget(id);
     const dag = this.dags.get(dagOf(run.header));
@@ -310,7 +251,7 @@
   private reload(run: LiveRun): void {
     run.engine = null;
     run.loaded = null;
-    this.unpool(run);
+    this.pools.forget(run);
     this.ring.delete(run);
     if (run.active) this.toLoad.add(run);
     this.loadNext();
@@ -392,7 +333,7 @@
     for (const [at] of plan.steps.entries()) {
       if (!isOpen(engine.stateOf(at))) continue;
       run.open.set(at, jobIdOf(id, header.digest, at, engine.attemptOf(at)));
-      this.pool(run, at);
+      this.pools.take(run, at);
     }
     this.stopCleared(run, engine);
     for (const tell of run.late.splice(0)) tell();
@@ -430,8 +371,8 @@
     const { engine } = run;
     if (engine === null || this.stopped) return;
     if (engine.isHalted && engine.result === null) void this.guard(this.settleHalted(run, engine));
-    if (run.header.clear !== null) void this.guard(this.clear(run, engine, run.header.clear));
-    else if (engine.result !== null) void this.guard(this.finish(run, engine));
+    if (run.header.clear !== null) void this.guard(this.writes.clear(run, engine, run.header.clear));
+    else if (engine.result !== null) void this.guard(this.writes.finish(run, engine));
     if (engine.hasReady) this.ring.add(run);
     const next = this.followers.get(run.id);
     next?.engine?.lookAtPast();
@@ -455,56 +396,11 @@
 
   // Steps ---------------------------------------------------------------------------------------------------
 
-  private poolHasRoom(pool: string): boolean {
-    return (this.poolUse.get(pool) ?? 0) < (this.options.pools[pool] ?? 0);
-  }
-
-  private pool(run: LiveRun, step: number): void {
-    const pool = run.engine?.plan.steps[step]?.pool;
-    if (pool === null || pool === undefined || run.pooled.has(step)) return;
-    run.pooled.set(step, pool);
-    this.poolUse.set(pool, (this.poolUse.get(pool) ?? 0) + 1);
-  }
-
-  private unpoolStep(run: LiveRun, step: number): void {
-    const pool = run.pooled.get(step);
-    if (pool === undefined) return;
-    run.pooled.delete(step);
-    this.poolUse.set(pool, (this.poolUse.get(pool) ?? 1) - 1);
-    this.offerSlots(pool);
-  }
-
-  /** A free slot is the first one's in the queue; who has no use for it any more passes it on. */
-  private offerSlots(pool: string): void {
-    const queue = this.poolQueues.get(pool);
-    if (queue === undefined || !this.poolHasRoom(pool)) return;
-    for (const run of queue) {
-      queue.delete(run);
-      if (run.engine?.hasReady !== true) continue;
-      this.ring.add(run);
-      break;
-    }
-    if (queue.size === 0) this.poolQueues.delete(pool);
-  }
-
-  private queueFor(run: LiveRun, engine: DagRun): void {
-    for (const pool of engine.readyPools()) {
-      if (pool === "" || this.poolHasRoom(pool)) continue;
-      const queue = this.poolQueues.get(pool) ?? new Set();
-      queue.add(run);
-      this.poolQueues.set(pool, queue);
-    }
-  }
-
-  private unpool(run: LiveRun): void {
-    for (const step of [...run.pooled.keys()]) this.unpoolStep(run, step);
-  }
-
   private release(run: LiveRun, step: number, job: string): void {
     if (run.open.get(step) !== job) return;
     run.open.delete(step);
     run.spent.delete(step);
-    this.unpoolStep(run, step);
+    this.pools.giveBack(run, step);
   }
 
   private hasRoom(run: LiveRun, engine: DagRun): boolean {
@@ -523,13 +419,13 @@
       this.ring.delete(run);
       const { engine } = run;
       if (engine === null || run.header.clear !== null || !this.hasRoom(run, engine)) continue;
-      const step = engine.take((pool) => this.poolHasRoom(pool));
-      if (engine.hasReady) this.queueFor(run, engine);
+      const step = engine.take((pool) => this.pools.hasRoom(pool));
+      if (engine.hasReady) this.pools.wait(run, engine);
       if (step === null) continue;
       if (engine.hasReady) this.ring.add(run);
       void this.guard(this.submit(run, engine, step));
     }
-    for (const pool of [...this.poolQueues.keys()]) this.offerSlots(pool);
+    this.pools.offerAll();
   }
 
   private async submit(run: LiveRun, engine: DagRun, step: number): Promise<void> {
@@ -547,7 +443,7 @@
       [endKey(job), 0],
     ]);
     run.starting.add(step);
-    this.pool(run, step);
+    this.pools.take(run, step);
     this.inFlight += 1;
     const result = await committer.propose(conditions, [{ kind: "put", key: jobKey(job), value }]);
     this.inFlight -= 1;
@@ -576,7 +472,7 @@
 
   private again(run: LiveRun, engine: DagRun, step: number): void {
     if (run.engine !== engine || this.stopped) return;
-    this.unpoolStep(run, step);
+    this.pools.giveBack(run, step);
     engine.putBack(step);
     this.moved(run);
   }
@@ -652,7 +548,7 @@
         log.error("somebody else's job has a step's id", { job });
         engine.submitted(step, attempt);
         engine.ended(step, attempt, "killed");
-        this.unpoolStep(run, step);
+        this.pools.giveBack(run, step);
         this.moved(run);
       }
       return;
@@ -665,107 +561,6 @@
     } else this.again(run, engine, step);
   }
 
-  // Ends and clearings --------------------------------------------------------------------------------------
-
-  private conditions(run: LiveRun): Map<string, Whole> {
-    const { lease } = this.context;
-    return new Map([
-      [lease.key, lease.version],
-      [graphKey(run.id), run.version],
-    ]);
-  }
-
-  private nowMs(): number {
-    return Math.round(this.context.wall?.() ?? 0);
-  }
-
-  private async finish(run: LiveRun, engine: DagRun): Promise<void> {
-    if (run.writing) return;
-    run.writing = true;
-    try {
-      const { header } = run;
-      const result = engine.result ?? "failed";
-      const phase: RunEnd = header.aborted ? "withdrawn" : header.timedOut ? "failed" : result;
-      const saved = run.loaded?.saved.clearings ?? new Map<number, number>();
-      const segments = writeSegments(header.steps, header.segment, engine.finals(), saved);
-      const counts = Object.fromEntries(
-        STATES.flatMap((state) => (engine.count(state) > 0 ? [[state, engine.count(state)]] : [])),
-      );
-      const [only] = segments;
-      const one = segments.length === 1 && only !== undefined;
-      if (!one && !(await this.writeSegments(run, segments))) return;
-      const value = { header, phase, counts, endedMs: this.nowMs(), states: one ? only : null };
-      const writes: Write[] = [
-        { kind: "put", key: endedKey(run.id), value },
-        { kind: "delete", key: graphKey(run.id) },
-      ];
-      if (run.summed !== "") writes.push({ kind: "delete", key: summaryKey(run.id) });
-      const written = await this.context.committer.propose(
-        this.conditions(run).set(endedKey(run.id), 0),
-        writes,
-        "work",
-      );
-      if (written.kind !== "ok") {
-        this.refused(run, written.kind === "conflict" ? written.keys : []);
-        return;
-      }
-      this.context.log.info("run ended", { run: run.id, phase, ...counts });
-      this.drop(run.id);
-    } finally {
-      run.writing = false;
-    }
-  }
-
-  private refused(run: LiveRun, keys: readonly string[]): void {
-    const { lease, view, clock } = this.context;
-    if (keys.includes(lease.key)) {
-      this.context.fenced();
-      return;
-    }
-    void this.guard(view.sync());
-    clock.after(RETRY, () => {
-      if (this.runs.get(run.id) === run) this.moved(run);
-    });
-  }
-
-  private async writeSegments(run: LiveRun, segments: readonly unknown[]): Promise<boolean> {
-    const writes = segments.map((value, at): Write => ({ kind: "put", key: segmentKey(run.id, at), value }));
-    const written = await this.context.committer.propose(this.conditions(run), writes, "work");
-    if (written.kind === "ok") return true;
-    this.refused(run, written.kind === "conflict" ? written.keys : []);
-    return false;
-  }
-
-  /** Carries out a clearing that is on record: what is not cleared stays as it is, whatever the others come to. */
-  private async clear(run: LiveRun, engine: DagRun, clear: Clear): Promise<void> {
-    if (run.writing || run.loaded === null) return;
-    run.writing = true;
-    try {
-      const { header } = run;
-      const cleared = closure(engine.plan, clear);
-      const round = Math.min(MOST_CLEARINGS, header.round + 1);
-      const finals = [...engine.finals()].filter(([at]) => !cleared.has(at));
-      const clearings = new Map(run.loaded.saved.clearings);
-      for (const at of cleared) clearings.set(at, round);
-      const writes: Write[] = writeSegments(header.steps, header.segment, finals, clearings).map((value, at) => ({
-        kind: "put",
-        key: segmentKey(run.id, at),
-        value,
-      }));
-      const value: Header = { ...header, round, clear: null };
-      writes.push({ kind: "put", key: graphKey(run.id), value });
-      const written = await this.context.committer.propose(this.conditions(run), writes, "work");
-      if (written.kind !== "ok") {
-        this.refused(run, written.kind === "conflict" ? written.keys : []);
-        return;
-      }
-      this.context.log.info("steps cleared", { run: run.id, steps: cleared.size, round });
-      this.seen(run.id, value, written.version);
-    } finally {
-      run.writing = false;
-    }
-  }
-
   // Time ----------------------------------------------------------------------------------------------------
 
   private tick(): void {
@@ -778,8 +573,8 @@
       for (const run of this.runs.values()) {
         if (run.engine === null) continue;
         if (run.timed) this.timeSteps(run, passed);
-        this.timeRun(run, run.engine);
-        this.summarize(run, run.engine);
+        this.writes.timeOut(run, run.engine);
+        this.writes.summarize(run, run.engine);
       }
       this.uploads.sweep();
       this.pump();
@@ -799,49 +594,6 @@
     }
   }
 
-  /** By the time of day where there is one, since a run may outlive many holders. */
-  private timeRun(run: LiveRun, engine: DagRun): void {
-    const { timeoutS } = engine.plan;
-    const { header } = run;
-    if (timeoutS === null || header.timedOut || header.aborted || run.writing || header.clear !== null) return;
-    const now = this.nowMs();
-    const passed =
-      now > 0 && header.acceptedMs > 0 ? now - header.acceptedMs : (this.context.clock.now() - run.seenAt) / 1_000;
-    if (passed < timeoutS * 1_000) return;
-    run.writing = true;
-    const value: Header = { ...header, timedOut: true };
-    const write: Write = { kind: "put", key: graphKey(run.id), value };
-    void this.guard(
-      this.context.committer.propose(this.conditions(run), [write], "cancel").then((written) => {
-        run.writing = false;
-        if (written.kind === "ok") this.seen(run.id, value, written.version);
-        else this.refused(run, written.kind === "conflict" ? written.keys : []);
-      }),
-    );
-  }
-
-  private summarize(run: LiveRun, engine: DagRun): void {
-    const { clock, committer, lease } = this.context;
-    if (run.header.steps < LARGE_RUN || run.writing || clock.now() - run.summedAt < SUMMARY_PERIOD) return;
-    this.stateOf(run.id);
-    const counts = STATES.map((state) => engine.count(state));
-    const text = counts.join();
-    if (text === run.summed) return;
-    run.summed = text;
-    run.summedAt = clock.now();
-    const write: Write = { kind: "put", key: summaryKey(run.id), value: counts };
-    void this.guard(
-      committer.propose(
-        new Map([
-          [lease.key, lease.version],
-          [graphKey(run.id), run.version],
-        ]),
-        [write],
-        "note",
-      ),
-    );
-  }
-
   private guard(work: Promise<unknown>): Promise<void> {
     return work.then(
       () => undefined,
@@ -849,19 +601,3 @@
     );
   }
 }
-
-/** The steps that a clearing is about. */
-export const closure = (plan: Plan, clear: Clear): ReadonlySet<number> => {
-  const cleared = new Set(clear.steps);
-  if (!clear.downstream) return cleared;
-  const downstream = downstreamOf(plan);
-  const work = [...clear.steps];
-  for (let at = work.pop(); at !== undefined; at = work.pop()) {
-    for (const down of downstream[at] ?? []) {
-      if (cleared.has(down)) continue;
-      cleared.add(down);
-      work.push(down);
-    }
-  }
-  return cleared;
-};
