--- a/src/graphs/service/door.ts
+++ b/src/graphs/service/door.ts
@@ -1,26 +1,23 @@
-import { gunzipSync, gzipSync } from "node:zlib";
-import { sha256 } from "@noble/hashes/sha2.js";
-import { bytesToHex } from "@noble/hashes/utils.js";
 import { homeBlock } from "../../bookkeeping/records.js";
 import type { Services } from "../../coordination/context.js";
 import { neverRuns } from "../../coordination/decisions/eligibility.js";
 import type { MachineType } from "../../protocol/cloud.js";
-import { asArray, formatJson, Malformed, parseJson, type Whole } from "../../protocol/json.js";
+import { asArray, Malformed, parseJson, type Whole } from "../../protocol/json.js";
 import type { Write } from "../../protocol/state.js";
 import type { GraphOptions } from "../../settings/graph-options.js";
-import { ms } from "../../transport/clock.js";
 import type { Request, Response } from "../../transport/http.js";
-import { describeError } from "../../transport/log.js";
 import { GraphError, problemText } from "../description/problem.js";
-import type { Part, Submission } from "../description/requests.js";
+import type { Submission } from "../description/requests.js";
 import { closure } from "../run/closure.js";
 import { MOST_CLEARINGS, tryOf } from "../run/dag-run.js";
 import { encodePlan, type Plan } from "../run/plan.js";
 import { specOf } from "../run/spec.js";
 import { type FinalState, STATES, type StepState } from "../run/states.js";
+import { answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
 import { describing } from "./describing.js";
 import { Glimpses, type RunStates } from "./glimpses.js";
 import { loadPlan, loadSaved } from "./loading.js";
+import { Parts } from "./parts.js";
 import {
   type Ended,
   endedKey,
@@ -31,8 +28,6 @@
   isRunId,
   jobIdOf,
   lastRunKey,
-  partKey,
-  partPrefix,
   planKey,
   type RunEnd,
   readEnded,
@@ -46,30 +41,15 @@
 } from "./records.js";
 import { LARGE_RUN } from "./run-writes.js";
 
-const MOST_BACKLOG = ms(1_500);
-/** Of a part in one transaction. */
-const MOST_PACKED = 48 * 1_024;
-/** Of a definition put together from its parts. */
-const MOST_BODY = 4 * 1_024 * 1_024;
 /** A plan up to this many characters lies in the header, and comes to all controllers with it. */
 const INLINE = 3_000;
 /** No line of an answer may exceed 64 KiB, with names as long as they may be. */
 const STEPS_PAGE = 150;
 const RUNS_PAGE = 100;
-const TRIES = 4;
-const BUSY_S = 5;
 const FULL_S = 30;
 
 type Phase = "pending" | "running" | RunEnd;
 
-const answer = (status: number, body: unknown): Response => ({ status, body: formatJson(body) });
-const refuse = (status: number, error: string): Response => answer(status, { error });
-const comeBack = (error: string, retryAfterS = 1): Response => ({
-  status: 503,
-  body: formatJson({ error }),
-  retryAfterS,
-});
-
 /** Fields in one order, so that a repetition that was written anew is still the same. */
 const canonical = (value: unknown): string =>
   JSON.stringify(value, (_, inner: unknown) => {
@@ -78,17 +58,10 @@
     return Object.fromEntries(Object.entries(inner).sort(([a], [b]) => (a < b ? -1 : 1)));
   });
 
-const digestOf = (text: string): string => bytesToHex(sha256(Buffer.from(text, "utf8"))).slice(0, 32);
-
-type Found =
-  | { readonly kind: "current"; readonly header: Header; readonly version: Whole }
-  | { readonly kind: "ended"; readonly ended: Ended; readonly version: Whole }
-  | { readonly kind: "never" }
-  | { readonly kind: "unknown" };
-
 /** The users' interface for graphs, the same at every controller. */
 export class GraphDoor {
   private readonly glimpses: Glimpses;
+  private readonly parts: Parts;
 
   constructor(
     private readonly services: Services,
@@ -98,6 +71,11 @@
     private readonly live: (id: string) => RunStates | null,
   ) {
     this.glimpses = new Glimpses(services, options);
+    this.parts = new Parts(services, {
+      find: (id) => this.find(id),
+      tell: (id, found) => this.tell(id, found),
+      submit: (submission, parts) => this.take(submission, parts),
+    });
   }
 
   /** Null: not a path of graphs. */
@@ -136,7 +114,7 @@
     const value = parseJson(body);
     const { isPart, isSubmission, whyNot } = await describing();
     if (typeof value === "object" && value !== null && "part" in value) {
-      return isPart(value) ? this.takePart(value) : refuse(400, whyNot(isPart));
+      return isPart(value) ? this.parts.take(value) : refuse(400, whyNot(isPart));
     }
     return isSubmission(value) ? this.take(value) : refuse(400, whyNot(isSubmission));
   }
@@ -162,7 +140,7 @@
     const never = this.neverRuns(plan);
     if (never !== null) return refuse(422, never);
     const said = await this.accept(id, plan, request, document.max_active_runs !== undefined);
-    if (said.status === 201 && parts.length > 0) void this.clearAway(id, parts);
+    if (said.status === 201 && parts.length > 0) void this.parts.clearAway(id, parts);
     return said;
   }
 
@@ -186,19 +164,6 @@
     return null;
   }
 
-  /** What is left after a crash here is found by its marker. */
-  private async clearAway(id: string, parts: readonly string[]): Promise<void> {
-    const { committer, log } = this.services;
-    try {
-      for (const key of [...parts, uploadKey(id)]) {
-        const result = await committer.propose(new Map(), [{ kind: "delete", key }], "upkeep");
-        if (result.kind !== "ok") return;
-      }
-    } catch (error) {
-      log.error("parts not cleared away", { run: id, error: describeError(error) });
-    }
-  }
-
   private async accept(id: string, plan: Plan, request: string, limited: boolean): Promise<Response> {
     const { committer, settings, store } = this.services;
     const { text, digest } = encodePlan(plan);
@@ -266,95 +231,6 @@
     return this.tell(id, known);
   }
 
-  /** Parts may come to any controller, in any order, and more than once; the last one makes the run. */
-  private async takePart(given: Part): Promise<Response> {
-    const { ref: id, part, parts } = given;
-    if (!isRunId(id)) return refuse(400, "ref: not a graph id like dr-night_2026-01-31");
-    if (part >= parts) return refuse(400, `part: must be below ${parts}`);
-    const pieces = this.piecesOf(given);
-    if (pieces === null) return refuse(413, "text: send smaller parts");
-    for (let tries = 0; tries < TRIES; tries += 1) {
-      const known = await this.find(id);
-      if (known.kind === "unknown") return comeBack("state service unavailable");
-      // All parts have come, or it is another graph: the parts alone don't tell.
-      if (known.kind !== "never") return this.tell(id, known);
-      if (this.services.committer.backlog > MOST_BACKLOG) return comeBack("busy", BUSY_S);
-      const have = await this.keepPart(given, pieces);
-      if (have === "again") continue;
-      if (typeof have !== "number") return have;
-      return have < parts ? answer(202, { ref: id, phase: "partial", parts, have }) : this.assemble(id, parts);
-    }
-    return comeBack("busy");
-  }
-
-  /** As it lies in the state service; null where it does not fit into one transaction. */
-  private piecesOf({ ref: id, part, text }: Part): readonly (Write & { readonly kind: "put" })[] | null {
-    const { valueBytes, transactionWrites } = this.services.settings.state;
-    const packed = gzipSync(text).toString("base64");
-    const most = valueBytes - 200;
-    const count = Math.ceil(packed.length / most);
-    if (count > transactionWrites - 1 || packed.length > MOST_PACKED) return null;
-    return Array.from({ length: count }, (_, at) => {
-      const value = { text: packed.slice(at * most, (at + 1) * most), ...(at === 0 ? { digest: digestOf(text) } : {}) };
-      return { kind: "put", key: partKey(id, part, at), value };
-    });
-  }
-
-  /** Puts a part on record; how many there are then, or what else there is to say. */
-  private async keepPart(
-    { ref: id, part, parts, text }: Part,
-    pieces: readonly Write[],
-  ): Promise<number | "again" | Response> {
-    const { committer, store, view } = this.services;
-    const key = uploadKey(id);
-    const entry = view.entries.get(key);
-    const marker = (entry?.value ?? { parts, have: [] }) as {
-      readonly parts?: number;
-      readonly have?: readonly number[];
-    };
-    const have = marker.have ?? [];
-    if (marker.parts !== parts)
-      return refuse(409, `${id} is under way in ${marker.parts ?? "no"} parts: choose a new id`);
-    if (have.includes(part)) {
-      const known = await store.get(partKey(id, part, 0));
-      if (known.kind !== "ok") return known.kind === "missing" ? "again" : comeBack("state service unavailable");
-      if ((known.value.value as { readonly digest?: string }).digest === digestOf(text)) return have.length;
-      return refuse(409, `part ${part} of ${id} is there with other content: choose a new id`);
-    }
-    const write: Write = { kind: "put", key, value: { parts, have: [...have, part] } };
-    const put = await committer.propose(new Map([[key, entry?.version ?? 0]]), [write, ...pieces], "user");
-    if (put.kind === "ok") return have.length + 1;
-    return put.kind === "conflict" ? "again" : comeBack("state service unavailable");
-  }
-
-  private async assemble(id: string, parts: number): Promise<Response> {
-    const { store, log } = this.services;
-    const listed = await store.list(partPrefix(id));
-    if (listed.kind !== "ok") return comeBack("state service unavailable");
-    const packed = new Map<number, string>();
-    for (const { key, value } of listed.value.entries) {
-      const part = Number(key.slice(partPrefix(id).length).split("/")[0]);
-      packed.set(part, (packed.get(part) ?? "") + String((value as { readonly text?: unknown }).text ?? ""));
-    }
-    let whole = "";
-    for (let part = 0; part < parts; part += 1) {
-      const left = MOST_BODY - whole.length;
-      if (left <= 0) return refuse(413, `more than ${MOST_BODY / 1_048_576} MiB`);
-      const text = packed.get(part);
-      if (text === undefined) return comeBack("parts are being cleared away");
-      whole += gunzipSync(Buffer.from(text, "base64"), { maxOutputLength: left + 65_536 }).toString("utf8");
-    }
-    const submission = parseJson(whole);
-    const { isSubmission, whyNot } = await describing();
-    if (!isSubmission(submission)) return refuse(400, whyNot(isSubmission));
-    if (submission.ref !== id) return refuse(400, "ref: differs between the parts and what they hold");
-    log.info("graph complete", { run: id, parts, bytes: whole.length });
-    return this.take(
-      submission,
-      listed.value.entries.map((entry) => entry.key),
-    );
-  }
-
   // Questions -----------------------------------------------------------------------------------------------
 
   /** No older than the question. */
--- /dev/null
+++ b/src/graphs/service/parts.ts
@@ -0,0 +1,132 @@
+import { gunzipSync, gzipSync } from "node:zlib";
+import type { Services } from "../../coordination/context.js";
+import { parseJson } from "../../protocol/json.js";
+import type { Write } from "../../protocol/state.js";
+import type { Response } from "../../transport/http.js";
+import { describeError } from "../../transport/log.js";
+import type { Part, Submission } from "../description/requests.js";
+import { answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
+import { describing } from "./describing.js";
+import { isRunId, partKey, partPrefix, uploadKey } from "./records.js";
+
+/** Of a part in one transaction. */
+const MOST_PACKED = 48 * 1_024;
+/** Of a definition put together from its parts. */
+const MOST_BODY = 4 * 1_024 * 1_024;
+
+/** What parts need of the users' interface. */
+export interface PartsDoor {
+  readonly find: (id: string) => Promise<Found>;
+  readonly tell: (id: string, found: Exclude<Found, { kind: "never" | "unknown" }>) => Promise<Response>;
+  readonly submit: (submission: Submission, parts: readonly string[]) => Promise<Response>;
+}
+
+/** Definitions that come in numbered parts, since they are larger than a request may be. */
+export class Parts {
+  constructor(
+    private readonly services: Services,
+    private readonly door: PartsDoor,
+  ) {}
+
+  /** Parts may come to any controller, in any order, and more than once; the last one makes the run. */
+  async take(given: Part): Promise<Response> {
+    const { ref: id, part, parts } = given;
+    if (!isRunId(id)) return refuse(400, "ref: not a graph id like dr-night_2026-01-31");
+    if (part >= parts) return refuse(400, `part: must be below ${parts}`);
+    const pieces = this.piecesOf(given);
+    if (pieces === null) return refuse(413, "text: send smaller parts");
+    for (let tries = 0; tries < TRIES; tries += 1) {
+      const known = await this.door.find(id);
+      if (known.kind === "unknown") return comeBack("state service unavailable");
+      // All parts have come, or it is another graph: the parts alone don't tell.
+      if (known.kind !== "never") return this.door.tell(id, known);
+      if (this.services.committer.backlog > MOST_BACKLOG) return comeBack("busy", BUSY_S);
+      const have = await this.keepPart(given, pieces);
+      if (have === "again") continue;
+      if (typeof have !== "number") return have;
+      return have < parts ? answer(202, { ref: id, phase: "partial", parts, have }) : this.assemble(id, parts);
+    }
+    return comeBack("busy");
+  }
+
+  /** As it lies in the state service; null where it does not fit into one transaction. */
+  private piecesOf({ ref: id, part, text }: Part): readonly (Write & { readonly kind: "put" })[] | null {
+    const { valueBytes, transactionWrites } = this.services.settings.state;
+    const packed = gzipSync(text).toString("base64");
+    const most = valueBytes - 200;
+    const count = Math.ceil(packed.length / most);
+    if (count > transactionWrites - 1 || packed.length > MOST_PACKED) return null;
+    return Array.from({ length: count }, (_, at) => {
+      const value = { text: packed.slice(at * most, (at + 1) * most), ...(at === 0 ? { digest: digestOf(text) } : {}) };
+      return { kind: "put", key: partKey(id, part, at), value };
+    });
+  }
+
+  /** Puts a part on record; how many there are then, or what else there is to say. */
+  private async keepPart(
+    { ref: id, part, parts, text }: Part,
+    pieces: readonly Write[],
+  ): Promise<number | "again" | Response> {
+    const { committer, store, view } = this.services;
+    const key = uploadKey(id);
+    const entry = view.entries.get(key);
+    const marker = (entry?.value ?? { parts, have: [] }) as {
+      readonly parts?: number;
+      readonly have?: readonly number[];
+    };
+    const have = marker.have ?? [];
+    if (marker.parts !== parts)
+      return refuse(409, `${id} is under way in ${marker.parts ?? "no"} parts: choose a new id`);
+    if (have.includes(part)) {
+      const known = await store.get(partKey(id, part, 0));
+      if (known.kind !== "ok") return known.kind === "missing" ? "again" : comeBack("state service unavailable");
+      if ((known.value.value as { readonly digest?: string }).digest === digestOf(text)) return have.length;
+      return refuse(409, `part ${part} of ${id} is there with other content: choose a new id`);
+    }
+    const write: Write = { kind: "put", key, value: { parts, have: [...have, part] } };
+    const put = await committer.propose(new Map([[key, entry?.version ?? 0]]), [write, ...pieces], "user");
+    if (put.kind === "ok") return have.length + 1;
+    return put.kind === "conflict" ? "again" : comeBack("state service unavailable");
+  }
+
+  private async assemble(id: string, parts: number): Promise<Response> {
+    const { store, log } = this.services;
+    const listed = await store.list(partPrefix(id));
+    if (listed.kind !== "ok") return comeBack("state service unavailable");
+    const packed = new Map<number, string>();
+    for (const { key, value } of listed.value.entries) {
+      const part = Number(key.slice(partPrefix(id).length).split("/")[0]);
+      packed.set(part, (packed.get(part) ?? "") + String((value as { readonly text?: unknown }).text ?? ""));
+    }
+    let whole = "";
+    for (let part = 0; part < parts; part += 1) {
+      const left = MOST_BODY - whole.length;
+      if (left <= 0) return refuse(413, `more than ${MOST_BODY / 1_048_576} MiB`);
+      const text = packed.get(part);
+      if (text === undefined) return comeBack("parts are being cleared away");
+      whole += gunzipSync(Buffer.from(text, "base64"), { maxOutputLength: left + 65_536 }).toString("utf8");
+    }
+    const submission = parseJson(whole);
+    const { isSubmission, whyNot } = await describing();
+    if (!isSubmission(submission)) return refuse(400, whyNot(isSubmission));
+    if (submission.ref !== id) return refuse(400, "ref: differs between the parts and what they hold");
+    log.info("graph complete", { run: id, parts, bytes: whole.length });
+    return this.door.submit(
+      submission,
+      listed.value.entries.map((entry) => entry.key),
+    );
+  }
+
+  /** What is left after a crash here is found by its marker. */
+  async clearAway(id: string, parts: readonly string[]): Promise<void> {
+    const { committer, log } = this.services;
+    try {
+      for (const key of [...parts, uploadKey(id)]) {
+        const result = await committer.propose(new Map(), [{ kind: "delete", key }], "upkeep");
+        if (result.kind !== "ok") return;
+      }
+    } catch (error) {
+      log.error("parts not cleared away", { run: id, error: describeError(error) });
+    }
+  }
+}
--- a/src/whatif/graph-load.ts
+++ b/src/whatif/graph-load.ts
@@ -264,6 +264,15 @@
 
 type Played = Watch & { readonly lastedUs: number };
 
+/** Graphs are asked for by the load itself; its emulated users say nothing. */
+const quiet = {
+  submitted: () => undefined,
+  polled: () => undefined,
+  cancelAsked: () => undefined,
+  cancelAnswered: () => undefined,
+  dropped: () => undefined,
+};
+
 const simulated = async (
   spec: GraphLoadSpec,
   plan: Plan,
@@ -273,13 +282,6 @@
   progress: (now: number, ended: number) => void,
 ): Promise<Played> => {
   const books: Watch[] = [];
-  const quiet = {
-    submitted: () => undefined,
-    polled: () => undefined,
-    cancelAsked: () => undefined,
-    cancelAnswered: () => undefined,
-    dropped: () => undefined,
-  };
   const site = new Site({
     spec: siteOf(spec),
     options: { ...DEFAULT_OPTIONS, graphs: LOAD_OPTIONS },
@@ -335,13 +337,6 @@
 ): Promise<Played> => {
   const { call } = await import("../client.js");
   const books: Watch[] = [];
-  const quiet = {
-    submitted: () => undefined,
-    polled: () => undefined,
-    cancelAsked: () => undefined,
-    cancelAnswered: () => undefined,
-    dropped: () => undefined,
-  };
   const site = await LocalSite.start({
     spec: siteOf(spec),
     options: { ...DEFAULT_OPTIONS, graphs: LOAD_OPTIONS },
--- a/test/graph-trace.test.ts
+++ b/test/graph-trace.test.ts
@@ -12,6 +12,7 @@
   type TraceEvent,
   traceEventOf,
 } from "../src/whatif/index.js";
+import { JOB } from "./graph-fixtures.js";
 import { GraphSite } from "./sim/graph-site.js";
 
 const HEADER = headerOf(sampleSite(16), "recorded", null);
@@ -79,26 +80,12 @@
 
 test("what waits for a job that was withdrawn goes on without it", async () => {
   const job = (ref: string): Submission => ({
+    ...JOB,
+    shape: "sweep",
+    rank: "high",
     ref,
     jobclass: "verify",
     owner: "web",
-    shape: "sweep",
-    rank: "high",
-    shards: 1,
-    cpus: 1,
-    accelerators: 0,
-    ramGb: 1,
-    bundle: "b",
-    sizeGb: 0.1,
-    flavors: null,
-    area: null,
-    together: false,
-    spread: false,
-    loaner: false,
-    guessS: 3,
-    saveEveryS: 0,
-    saveTakesS: 0,
-    dueS: null,
   });
   const events: readonly TraceEvent[] = [
     { at: 0, event: "submit", job: job("wk-1"), runUs: 5 * S },
