--- a/src/graphs/description/params.ts
+++ b/src/graphs/description/params.ts
@@ -19,6 +19,8 @@
 ): Readonly<Record<string, unknown>> => {
   const declared = graph.params ?? {};
   const values: Record<string, unknown> = {};
+  // Not kept any longer: it remembers every schema that it has seen.
+  const ajv = new Ajv({ strict: false });
   for (const name of Object.keys(given)) {
     if (!Object.hasOwn(declared, name)) problems.push({ path: ["params", name], message: "no such param" });
   }
@@ -33,7 +35,6 @@
     values[name] = own ? given[name] : described.default;
     const schema = Object.fromEntries(Object.entries(described).filter(([word]) => KEPT.includes(word)));
     try {
-      const ajv = new Ajv({ strict: false });
       if (!ajv.validate(schema, values[name])) {
         problems.push({ path, message: ajv.errors?.[0]?.message ?? "does not fit" });
       }
