Graphs: params are made bare once for a definition, not once for each step

Each step of a mapped task got its own copy of all params, a square where the list that it is mapped over is one of them: 20,000 steps compiled in 22.6 s, now in 0.7 s. The test counts reads and failed before.

--- a/src/graphs/description/compile.ts
+++ b/src/graphs/description/compile.ts
@@ -73,6 +73,8 @@
   /** Numbers of each task's steps. */
   private readonly numbers = new Map<string, readonly number[]>();
   private readonly params: Readonly<Record<string, unknown>>;
+  /** As templates see them. */
+  private readonly bareParams: unknown;
 
   constructor(
     private readonly graph: GraphDocument,
@@ -80,6 +82,7 @@
     private readonly bounds: Bounds,
   ) {
     this.params = paramsOf(graph, words.params, this.problems);
+    this.bareParams = bare(this.params);
   }
 
   private fail(path: Problem["path"], message: string): void {
@@ -147,7 +150,7 @@
   private namesFor(task: FlatTask, map: Readonly<Record<string, unknown>>, index: number): Names {
     const { graph, words } = this;
     return {
-      params: bare(this.params),
+      params: this.bareParams,
       map: bare(map),
       map_index: index,
       ds: words.ds,
--- a/test/graph-description.test.ts
+++ b/test/graph-description.test.ts
@@ -105,6 +105,23 @@
   assert.match(complaint(text, { n: 1, k: 1 }), /params\.k: no such param/);
 });
 
+test("a mapped task looks at its params once, not once for each of its steps", () => {
+  // Each step got a copy of all params: 20,000 steps over a list of 20,000 took 22 s.
+  let reads = 0;
+  const list = new Proxy(
+    Array.from({ length: 500 }, (_, at) => at),
+    {
+      get: (target, key, receiver): unknown => {
+        reads += 1;
+        return Reflect.get(target, key, receiver);
+      },
+    },
+  );
+  const text = `${HEAD}params: {l: []}\ntasks: [{task_id: a, expand: {x: l}, job: {bundle: "i-{{ map.x }}"}}]\n`;
+  assert.equal(planOf(text, { l: list }).jobs.length, 500);
+  assert.ok(reads < 500 * 10, `${reads} reads`);
+});
+
 test("branches and short circuits decide by params", () => {
   const text = `${HEAD}
 params: {way: left, go: true}
