Graphs: one place for what stood twice

Found on reading the change again: counts of states, segments as writes, a clearing's saved states, distinct jobs, a run that is called off, a run that is not there, downstream lists, bodies in parts, the upload's marker, and two plots that differed in three names. Gone with it: getters and exports that nobody used.

--- a/src/client.ts
+++ b/src/client.ts
@@ -31,6 +31,19 @@
   throw new ClientError(`status ${status}: ${body}${later}`);
 };
 
+/** A request body holds 64 KiB; what JSON adds to a part's text stays within the rest. */
+const MOST_BODY = 60_000;
+const PART = 24_000;
+
+/** The bodies that a graph is submitted with: one where it fits, else numbered parts. */
+export const graphBodies = (ref: string, text: string): readonly string[] => {
+  if (Buffer.byteLength(text) <= MOST_BODY) return [text];
+  const parts = Math.ceil(text.length / PART);
+  return Array.from({ length: parts }, (_, part) =>
+    JSON.stringify({ ref, part, parts, text: text.slice(part * PART, (part + 1) * PART) }),
+  );
+};
+
 const jobPath = (id: string, rest = ""): string => {
   if (!/^[\w.-]+$/.test(id)) throw new ClientError(`${id}: not a job id`);
   return `/v2/runs/${id}${rest}`;
--- a/src/commands/graph-client.ts
+++ b/src/commands/graph-client.ts
@@ -1,9 +1,6 @@
-import { ClientError, call, type Reply } from "../client.js";
+import { ClientError, call, graphBodies, type Reply } from "../client.js";
 import { CommandError } from "./cli.js";
 
-/** A request body holds 64 KiB; what JSON adds to a part's text stays within the rest. */
-const PART = 24_000;
-const WHOLE = 60_000;
 const PATIENCE_MS = 60_000;
 const MOST_PAUSE_S = 30;
 
@@ -19,15 +16,12 @@
   return `status ${status}`;
 };
 
+export const request = (server: string, method: string, target: string, body: unknown = null): Promise<string> =>
+  ask(server, method, target, body === null ? "" : JSON.stringify(body));
+
 /** Asks until there is an answer that stays, for a minute at most, as all users do. */
-export const request = async (
-  server: string,
-  method: string,
-  target: string,
-  body: unknown = null,
-): Promise<string> => {
+const ask = async (server: string, method: string, target: string, text: string): Promise<string> => {
   const until = performance.now() + PATIENCE_MS;
-  const text = body === null ? "" : JSON.stringify(body);
   for (;;) {
     let why = "no answer";
     let wait = 1;
@@ -53,14 +47,11 @@
   body: { readonly ref: string },
   progress: (done: number, of: number) => void,
 ): Promise<string> => {
-  const text = JSON.stringify(body);
-  if (Buffer.byteLength(text) <= WHOLE) return request(server, "POST", "/v2/graphs", body);
-  const parts: string[] = [];
-  for (let at = 0; at < text.length; at += PART) parts.push(text.slice(at, at + PART));
+  const bodies = graphBodies(body.ref, JSON.stringify(body));
   let said = "";
-  for (const [part, piece] of parts.entries()) {
-    said = await request(server, "POST", "/v2/graphs", { ref: body.ref, part, parts: parts.length, text: piece });
-    progress(part + 1, parts.length);
+  for (const [at, text] of bodies.entries()) {
+    said = await ask(server, "POST", "/v2/graphs", text);
+    if (bodies.length > 1) progress(at + 1, bodies.length);
   }
   return said;
 };
--- a/src/commands/graph-limits.ts
+++ b/src/commands/graph-limits.ts
@@ -27,13 +27,9 @@
   typesFile: string | undefined,
 ): Promise<string | null> => {
   const { settings } = await load({ config });
-  const { specOf } = await graphs();
+  const { distinctJobs } = await graphs();
   const types = typesFile === undefined ? null : typesIn(typesFile);
-  const checked = new Set<number>();
-  for (const step of plan.steps) {
-    if (step.job === null || checked.has(step.job)) continue;
-    checked.add(step.job);
-    const spec = specOf(plan, step, "wk-step");
+  for (const [step, spec] of distinctJobs(plan)) {
     const roomy: MachineType | null = types === null ? roomyType(spec.types?.[0] ?? "any", settings.zones) : null;
     const never = neverRuns(spec, settings, types ?? new Map(roomy === null ? [] : [[roomy.name, roomy]]));
     if (never !== null) return `step ${step.id}: ${never}`;
--- a/src/graphs/run/closure.ts
+++ b/src/graphs/run/closure.ts
@@ -1,5 +1,4 @@
-import type { Plan } from "./plan.js";
-import { downstreamOf } from "./weights.js";
+import { downstreamOf, type Plan } from "./plan.js";
 
 /** These steps, and with `downstream` all that come after them. */
 export const closure = (plan: Plan, steps: readonly number[], downstream: boolean): ReadonlySet<number> => {
--- a/src/graphs/run/dag-run.ts
+++ b/src/graphs/run/dag-run.ts
@@ -1,6 +1,6 @@
 import TinyQueue from "tinyqueue";
 import type { Micros } from "../../transport/clock.js";
-import type { Plan, Step } from "./plan.js";
+import { downstreamOf, type Plan, type Step } from "./plan.js";
 import type { Limits } from "./retry.js";
 import { judge } from "./rules.js";
 import { type FinalState, isFinal, isOpen, STATES, type StepState } from "./states.js";
@@ -101,18 +101,16 @@
     this.spreads = new Uint8Array(count);
     this.left = count;
     this.tallies.set("none", count);
-    const downstream: number[][] = plan.steps.map(() => []);
+    this.downstream = downstreamOf(plan);
     for (const [at, { cuts }] of plan.steps.entries()) if (cuts.length > 0) this.cuts.set(at, new Set(cuts));
     for (const [at, step] of plan.steps.entries()) {
       for (const up of step.upstream) {
-        downstream[up]?.push(at);
         if (plan.steps[up]?.setup === true) this.setups[at] = (this.setups[at] ?? 0) + 1;
         if (!this.mayCut(up, at)) continue;
         this.gates[at] = (this.gates[at] ?? 0) + 1;
         if (this.spreads[up] === 1 || plan.steps[up]?.cutsAll === true) this.spreads[at] = 1;
       }
     }
-    this.downstream = downstream;
     for (const [at, state] of setup.frozen) this.freeze(at, state);
     // Upstream steps have lower numbers, so one pass settles all that is decided already.
     for (let at = 0; at < count; at += 1) this.evaluate(at);
@@ -136,11 +134,6 @@
     return this.open;
   }
 
-  /** Steps that are not final yet. */
-  get unfinished(): number {
-    return this.left;
-  }
-
   count(state: StepState): number {
     return this.tallies.get(state) ?? 0;
   }
--- a/src/graphs/run/plan.ts
+++ b/src/graphs/run/plan.ts
@@ -60,7 +60,8 @@
 /** A plan of this many bytes of JSON is taken for damaged. */
 const MOST_TEXT = 32 * 1_024 * 1_024;
 
-const DEFAULTS: Step = {
+/** What a step is that says nothing. */
+export const DEFAULT_STEP: Step = {
   id: "",
   kind: "job",
   upstream: [],
@@ -81,7 +82,7 @@
 
 /** Only what differs from the defaults, so that a step of a wide graph is some forty bytes before compression. */
 const slim = (step: Step): Partial<Step> =>
-  Object.fromEntries(Object.entries(step).filter(([name, value]) => !same(value, DEFAULTS[name as keyof Step])));
+  Object.fromEntries(Object.entries(step).filter(([name, value]) => !same(value, DEFAULT_STEP[name as keyof Step])));
 
 /** As text for the state service, with the digest that tells two definitions apart. */
 export const encodePlan = (plan: Plan): { readonly text: string; readonly digest: string } => {
@@ -94,7 +95,14 @@
 export const decodePlan = (text: string): Plan => {
   const json = gunzipSync(Buffer.from(text, "base64"), { maxOutputLength: MOST_TEXT }).toString("utf8");
   const plan = JSON.parse(json) as Omit<Plan, "steps"> & { readonly steps: readonly Partial<Step>[] };
-  return { ...plan, steps: plan.steps.map((step) => ({ ...DEFAULTS, ...step })) };
+  return { ...plan, steps: plan.steps.map((step) => ({ ...DEFAULT_STEP, ...step })) };
+};
+
+/** Numbers of each step's direct downstream steps. */
+export const downstreamOf = (plan: Plan): readonly (readonly number[])[] => {
+  const lists: number[][] = plan.steps.map(() => []);
+  for (const [at, step] of plan.steps.entries()) for (const up of step.upstream) lists[up]?.push(at);
+  return lists;
 };
 
 /** Longest way to an end, in seconds of the owners' estimates, the step's own included. */
--- a/src/graphs/run/weights.ts
+++ b/src/graphs/run/weights.ts
@@ -1,5 +1,5 @@
 import { TypedFastBitSet } from "typedfastbitset";
-import { criticalPaths, type Plan } from "./plan.js";
+import { criticalPaths, downstreamOf, type Plan } from "./plan.js";
 
 /** Beyond this many steps the sets of what each one reaches are a square that holds a controller up for minutes. */
 const MOST_COUNTED = 1_000;
@@ -42,12 +42,6 @@
   return sums;
 };
 
-export const downstreamOf = (plan: Plan): readonly (readonly number[])[] => {
-  const lists: number[][] = plan.steps.map(() => []);
-  for (const [at, step] of plan.steps.entries()) for (const up of step.upstream) lists[up]?.push(at);
-  return lists;
-};
-
 /**
  * Each step's place in its own graph's order: by Airflow's weight, then by the critical path. It decides between steps
  * of one graph only, never between a step and anybody else's job.
--- a/src/graphs/service/answers.ts
+++ b/src/graphs/service/answers.ts
@@ -25,5 +25,12 @@
 export type Found =
   | { readonly kind: "current"; readonly header: Header; readonly version: Whole }
   | { readonly kind: "ended"; readonly ended: Ended; readonly version: Whole }
-  | { readonly kind: "never" }
-  | { readonly kind: "unknown" };
+  | Absent;
+
+export type Absent = { readonly kind: "never" } | { readonly kind: "unknown" };
+
+export const isAbsent = (found: Found): found is Absent => found.kind === "never" || found.kind === "unknown";
+
+/** What is said of a run that is not there, or can't be told to be. */
+export const absent = ({ kind }: Absent): Response =>
+  kind === "never" ? refuse(404, "no such graph") : comeBack("state service unavailable");
--- a/src/graphs/service/door.ts
+++ b/src/graphs/service/door.ts
@@ -11,14 +11,27 @@
 import { closure } from "../run/closure.js";
 import { MOST_CLEARINGS, tryOf } from "../run/dag-run.js";
 import { encodePlan, type Plan } from "../run/plan.js";
-import { specOf } from "../run/spec.js";
-import { type FinalState, STATES, type StepState } from "../run/states.js";
-import { answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
+import { distinctJobs } from "../run/spec.js";
+import { countsOf, type FinalState, type StepState } from "../run/states.js";
+import {
+  type Absent,
+  absent,
+  answer,
+  BUSY_S,
+  comeBack,
+  digestOf,
+  type Found,
+  isAbsent,
+  MOST_BACKLOG,
+  refuse,
+  TRIES,
+} from "./answers.js";
 import { describing } from "./describing.js";
 import { Glimpses, type RunStates } from "./glimpses.js";
 import { loadPlan, loadSaved } from "./loading.js";
 import { Parts } from "./parts.js";
 import {
+  clearedSegments,
   type Ended,
   endedKey,
   endedPrefix,
@@ -33,11 +46,10 @@
   readEnded,
   readHeader,
   readSegments,
-  segmentKey,
   segmentSize,
+  segmentWrites,
   summaryKey,
   uploadKey,
-  writeSegments,
 } from "./records.js";
 import { LARGE_RUN } from "./run-writes.js";
 
@@ -149,11 +161,7 @@
   }
 
   private neverRuns(plan: Plan): string | null {
-    const checked = new Set<number>();
-    for (const step of plan.steps) {
-      if (step.job === null || checked.has(step.job)) continue;
-      checked.add(step.job);
-      const spec = specOf(plan, step, "wk-step");
+    for (const [step, spec] of distinctJobs(plan)) {
       // Beside the specification a record holds the id, the graph's and counts of failures.
       if (JSON.stringify(spec).length + 400 > this.services.settings.state.valueBytes) {
         return `step ${step.id}: its job is too large for a record`;
@@ -225,7 +233,7 @@
   }
 
   private repeated(id: string, known: Found, request: string): Promise<Response> | Response {
-    if (known.kind === "never" || known.kind === "unknown") return comeBack("state service unavailable");
+    if (isAbsent(known)) return comeBack("state service unavailable");
     const header = known.kind === "current" ? known.header : known.ended.header;
     if (header.request !== request) return refuse(409, `${id} is another graph: choose a new id`);
     return this.tell(id, known);
@@ -247,12 +255,10 @@
 
   private async status(id: string): Promise<Response> {
     const found = await this.find(id);
-    if (found.kind === "never") return refuse(404, "no such graph");
-    if (found.kind === "unknown") return comeBack("state service unavailable");
-    return this.tell(id, found);
+    return isAbsent(found) ? absent(found) : this.tell(id, found);
   }
 
-  private async tell(id: string, found: Exclude<Found, { kind: "never" | "unknown" }>): Promise<Response> {
+  private async tell(id: string, found: Exclude<Found, Absent>): Promise<Response> {
     if (found.kind === "ended") {
       const { header, phase, counts } = found.ended;
       return answer(200, { ref: id, phase, dag_id: header.dag, owner: header.owner, steps: header.steps, counts });
@@ -270,23 +276,17 @@
     const summary = this.services.view.entries.get(summaryKey(id));
     if (live === null && header.steps >= LARGE_RUN) {
       const numbers = summary === undefined ? [header.steps] : asArray(summary.value, "summary").map(Number);
-      return Object.fromEntries(
-        STATES.flatMap((state, at) => ((numbers[at] ?? 0) > 0 ? [[state, numbers[at] ?? 0]] : [])),
-      );
+      return countsOf((_, at) => numbers[at] ?? 0);
     }
     const states = live ?? (await this.glimpses.look(id, header));
-    if (states === null) return null;
-    return Object.fromEntries(
-      STATES.flatMap((state) => (states.count(state) > 0 ? [[state, states.count(state)]] : [])),
-    );
+    return states === null ? null : countsOf((state) => states.count(state));
   }
 
   private async steps(id: string, query: URLSearchParams): Promise<Response> {
     const from = Number(query.get("from") ?? 0);
     if (!Number.isInteger(from) || from < 0) return refuse(400, "from: not a step's number");
     const found = await this.find(id);
-    if (found.kind === "never") return refuse(404, "no such graph");
-    if (found.kind === "unknown") return comeBack("state service unavailable");
+    if (isAbsent(found)) return absent(found);
     const header = found.kind === "current" ? found.header : found.ended.header;
     const states = found.kind === "current" ? (this.live(id) ?? (await this.glimpses.look(id, header))) : null;
     const ended = found.kind === "ended" ? await this.endedStates(id, found.ended) : null;
@@ -343,8 +343,7 @@
     const { committer } = this.services;
     for (let tries = 0; tries < TRIES; tries += 1) {
       const found = await this.find(id);
-      if (found.kind === "never") return refuse(404, "no such graph");
-      if (found.kind === "unknown") return comeBack("state service unavailable");
+      if (isAbsent(found)) return absent(found);
       if (found.kind === "ended") return answer(200, { ref: id, phase: found.ended.phase });
       if (found.header.aborted) return answer(200, { ref: id, phase: "withdrawn" });
       const value: Header = { ...found.header, aborted: true, clear: null };
@@ -366,8 +365,7 @@
     const { step, downstream = true } = value;
     for (let tries = 0; tries < TRIES; tries += 1) {
       const found = await this.find(id);
-      if (found.kind === "never") return refuse(404, "no such graph");
-      if (found.kind === "unknown") return comeBack("state service unavailable");
+      if (isAbsent(found)) return absent(found);
       const header = found.kind === "current" ? found.header : found.ended.header;
       if (header.aborted) return refuse(409, `${id} was withdrawn`);
       if (header.round >= MOST_CLEARINGS) return refuse(409, `${id} was cleared ${MOST_CLEARINGS} times: run it anew`);
@@ -414,12 +412,9 @@
     const { header } = ended;
     const cleared = closure(plan, clear.steps, clear.downstream);
     const round = header.round + 1;
-    const clearings = new Map(states.clearings);
-    for (const at of cleared) clearings.set(at, round);
-    const finals = [...states.finals].filter(([at]) => !cleared.has(at));
     const acceptedMs = Math.round(this.services.wall?.() ?? 0);
     const next: Header = { ...header, round, clear: null, timedOut: false, acceptedMs };
-    const segments = writeSegments(header.steps, header.segment, finals, clearings);
+    const segments = clearedSegments(header, states.finals, states.clearings, cleared, round);
     const result = await this.services.committer.propose(
       new Map<string, Whole>([
         [endedKey(id), version],
@@ -428,7 +423,7 @@
       [
         { kind: "delete", key: endedKey(id) },
         { kind: "put", key: graphKey(id), value: next },
-        ...segments.map((value, at): Write => ({ kind: "put", key: segmentKey(id, at), value })),
+        ...segmentWrites(id, segments),
       ],
       "user",
     );
--- a/src/graphs/service/extension.ts
+++ b/src/graphs/service/extension.ts
@@ -5,7 +5,7 @@
 import type { GraphOptions } from "../../settings/graph-options.js";
 import type { Request, Response } from "../../transport/http.js";
 import { GraphDoor } from "./door.js";
-import { graphKey, readHeader } from "./records.js";
+import { graphKey, isCalledOff, readHeader } from "./records.js";
 import { Runner } from "./runner.js";
 
 /** Graphs beside the kernel of one controller. */
@@ -48,9 +48,7 @@
   withdrawn(spec: JobSpec): boolean {
     if (spec.origin === undefined) return false;
     const entry = this.services.view.entries.get(graphKey(spec.origin.graph));
-    if (entry === undefined) return false;
-    const { aborted, timedOut } = readHeader(entry.value);
-    return aborted || timedOut;
+    return entry !== undefined && isCalledOff(readHeader(entry.value));
   }
 }
 
--- a/src/graphs/service/parts.ts
+++ b/src/graphs/service/parts.ts
@@ -5,9 +5,9 @@
 import type { Response } from "../../transport/http.js";
 import { describeError } from "../../transport/log.js";
 import type { Part, Submission } from "../description/requests.js";
-import { answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
+import { type Absent, answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
 import { describing } from "./describing.js";
-import { isRunId, partKey, partPrefix, uploadKey } from "./records.js";
+import { isRunId, partKey, partPrefix, readUpload, uploadKey } from "./records.js";
 
 /** Of a part in one transaction. */
 const MOST_PACKED = 48 * 1_024;
@@ -17,7 +17,7 @@
 /** What parts need of the users' interface. */
 export interface PartsDoor {
   readonly find: (id: string) => Promise<Found>;
-  readonly tell: (id: string, found: Exclude<Found, { kind: "never" | "unknown" }>) => Promise<Response>;
+  readonly tell: (id: string, found: Exclude<Found, Absent>) => Promise<Response>;
   readonly submit: (submission: Submission, parts: readonly string[]) => Promise<Response>;
 }
 
@@ -70,10 +70,7 @@
     const { committer, store, view } = this.services;
     const key = uploadKey(id);
     const entry = view.entries.get(key);
-    const marker = (entry?.value ?? { parts, have: [] }) as {
-      readonly parts?: number;
-      readonly have?: readonly number[];
-    };
+    const marker = entry === undefined ? { parts } : readUpload(entry.value);
     const have = marker.have ?? [];
     if (marker.parts !== parts)
       return refuse(409, `${id} is under way in ${marker.parts ?? "no"} parts: choose a new id`);
--- a/src/graphs/service/records.ts
+++ b/src/graphs/service/records.ts
@@ -4,6 +4,7 @@
 import { TypedFastBitSet } from "typedfastbitset";
 import type { EndRecord } from "../../bookkeeping/records.js";
 import { asArray, asObject, type Fields, orNull, readAmount, readString } from "../../protocol/json.js";
+import type { Write } from "../../protocol/state.js";
 import type { Outcome } from "../run/dag-run.js";
 import { FINALS, type FinalState } from "../run/states.js";
 
@@ -95,6 +96,9 @@
   readonly before: string | null;
 }
 
+/** Nothing of the run is to go on. */
+export const isCalledOff = ({ aborted, timedOut }: Header): boolean => aborted || timedOut;
+
 export type RunEnd = "success" | "failed" | "withdrawn";
 
 /** A run's last word; the header as it last was, how it ended, and when. */
@@ -160,6 +164,23 @@
   });
 };
 
+/** Saved states after a clearing: those that are not cleared keep theirs, the others count their attempts anew. */
+export const clearedSegments = (
+  { steps, segment }: Header,
+  finals: Iterable<readonly [number, FinalState]>,
+  clearings: ReadonlyMap<number, number>,
+  cleared: ReadonlySet<number>,
+  round: number,
+): readonly Segment[] => {
+  const kept = [...finals].filter(([at]) => !cleared.has(at));
+  const after = new Map(clearings);
+  for (const at of cleared) after.set(at, round);
+  return writeSegments(steps, segment, kept, after);
+};
+
+export const segmentWrites = (id: string, segments: readonly Segment[]): readonly Write[] =>
+  segments.map((value, at) => ({ kind: "put", key: segmentKey(id, at), value }));
+
 export interface Saved {
   readonly finals: Map<number, FinalState>;
   readonly clearings: Map<number, number>;
@@ -190,6 +211,17 @@
   return { finals, clearings };
 };
 
+/** What lies below `g/` of a run that is not accepted yet: parts that have come, or chunks of its plan. */
+export interface Upload {
+  readonly parts?: number;
+  readonly have?: readonly number[];
+  readonly plan?: string;
+  readonly chunks?: number;
+}
+
+// Written by this program alone.
+export const readUpload = (value: unknown): Upload => asObject(value, "upload") as Upload;
+
 const readPlace = (value: unknown): PlanPlace => {
   const fields = asObject(value, "plan");
   return typeof fields.text === "string" ? { text: fields.text } : { chunks: readAmount(fields, "chunks") };
--- a/src/graphs/service/run-writes.ts
+++ b/src/graphs/service/run-writes.ts
@@ -5,15 +5,17 @@
 import { describeError } from "../../transport/log.js";
 import { closure } from "../run/closure.js";
 import { type DagRun, MOST_CLEARINGS } from "../run/dag-run.js";
-import { STATES } from "../run/states.js";
+import { countsOf, STATES } from "../run/states.js";
 import type { LiveRun } from "./live-run.js";
 import {
   type Clear,
+  clearedSegments,
   endedKey,
   graphKey,
   type Header,
   type RunEnd,
-  segmentKey,
+  type Segment,
+  segmentWrites,
   summaryKey,
   writeSegments,
 } from "./records.js";
@@ -62,9 +64,7 @@
       const phase: RunEnd = header.aborted ? "withdrawn" : header.timedOut ? "failed" : result;
       const saved = run.loaded?.saved.clearings ?? new Map<number, number>();
       const segments = writeSegments(header.steps, header.segment, engine.finals(), saved);
-      const counts = Object.fromEntries(
-        STATES.flatMap((state) => (engine.count(state) > 0 ? [[state, engine.count(state)]] : [])),
-      );
+      const counts = countsOf((state) => engine.count(state));
       const [only] = segments;
       const one = segments.length === 1 && only !== undefined;
       if (!one && !(await this.writeSegments(run, segments))) return;
@@ -102,9 +102,8 @@
     });
   }
 
-  private async writeSegments(run: LiveRun, segments: readonly unknown[]): Promise<boolean> {
-    const writes = segments.map((value, at): Write => ({ kind: "put", key: segmentKey(run.id, at), value }));
-    const written = await this.context.committer.propose(this.conditions(run), writes, "work");
+  private async writeSegments(run: LiveRun, segments: readonly Segment[]): Promise<boolean> {
+    const written = await this.context.committer.propose(this.conditions(run), segmentWrites(run.id, segments), "work");
     if (written.kind === "ok") return true;
     this.refused(run, written.kind === "conflict" ? written.keys : []);
     return false;
@@ -118,16 +117,12 @@
       const { header } = run;
       const cleared = closure(engine.plan, clear.steps, clear.downstream);
       const round = Math.min(MOST_CLEARINGS, header.round + 1);
-      const finals = [...engine.finals()].filter(([at]) => !cleared.has(at));
-      const clearings = new Map(run.loaded.saved.clearings);
-      for (const at of cleared) clearings.set(at, round);
-      const writes: Write[] = writeSegments(header.steps, header.segment, finals, clearings).map((value, at) => ({
-        kind: "put",
-        key: segmentKey(run.id, at),
-        value,
-      }));
+      const segments = clearedSegments(header, engine.finals(), run.loaded.saved.clearings, cleared, round);
       const value: Header = { ...header, round, clear: null };
-      writes.push({ kind: "put", key: graphKey(run.id), value });
+      const writes: readonly Write[] = [
+        ...segmentWrites(run.id, segments),
+        { kind: "put", key: graphKey(run.id), value },
+      ];
       const written = await this.context.committer.propose(this.conditions(run), writes, "work");
       if (written.kind !== "ok") {
         this.refused(run, written.kind === "conflict" ? written.keys : []);
@@ -162,7 +157,7 @@
   }
 
   summarize(run: LiveRun, engine: DagRun): void {
-    const { clock, committer, lease } = this.context;
+    const { clock, committer } = this.context;
     if (run.header.steps < LARGE_RUN || run.writing || clock.now() - run.summedAt < SUMMARY_PERIOD) return;
     this.around.refresh(run.id);
     const counts = STATES.map((state) => engine.count(state));
@@ -171,16 +166,7 @@
     run.summed = text;
     run.summedAt = clock.now();
     const write: Write = { kind: "put", key: summaryKey(run.id), value: counts };
-    void this.guard(
-      committer.propose(
-        new Map([
-          [lease.key, lease.version],
-          [graphKey(run.id), run.version],
-        ]),
-        [write],
-        "note",
-      ),
-    );
+    void this.guard(committer.propose(this.conditions(run), [write], "note"));
   }
 
   private guard(work: Promise<unknown>): Promise<void> {
--- a/src/graphs/service/runner.ts
+++ b/src/graphs/service/runner.ts
@@ -8,8 +8,8 @@
 import type { GraphOptions } from "../../settings/graph-options.js";
 import { type Micros, ms } from "../../transport/clock.js";
 import { describeError } from "../../transport/log.js";
-import { DagRun, type PastRun, tryOf } from "../run/dag-run.js";
-import type { Plan, Step } from "../run/plan.js";
+import { DagRun, tryOf } from "../run/dag-run.js";
+import type { Plan } from "../run/plan.js";
 import { planLimits } from "../run/retry.js";
 import { specOf } from "../run/spec.js";
 import { isOpen } from "../run/states.js";
@@ -19,7 +19,7 @@
 import { loadRun, pastOf } from "./loading.js";
 import { PastRuns } from "./past-runs.js";
 import { Pools } from "./pools.js";
-import { graphKey, graphOfKey, jobIdOf, outcomeOf, partsOfJobId, readHeader } from "./records.js";
+import { graphKey, graphOfKey, isCalledOff, jobIdOf, outcomeOf, partsOfJobId, readHeader } from "./records.js";
 import { RunWrites } from "./run-writes.js";
 import { Uploads } from "./uploads.js";
 
@@ -88,10 +88,6 @@
     this.notes.stop();
   }
 
-  get size(): number {
-    return this.runs.size;
-  }
-
   /** The run's states, once they are known here. */
   stateOf(id: string): DagRun | null {
     const run = this.runs.get(id);
@@ -125,7 +121,7 @@
    */
   private sweep(id: string): void {
     const run = this.runs.get(id);
-    if (run === undefined || !(run.header.aborted || run.header.timedOut)) return;
+    if (run === undefined || !isCalledOff(run.header)) return;
     this.doors.sweepWithdrawn(run.open.values());
   }
 
@@ -205,8 +201,7 @@
 
   /** What the header asks for. */
   private follow(run: LiveRun, engine: DagRun): void {
-    const { aborted, timedOut } = run.header;
-    if ((aborted || timedOut) && !engine.isHalted) {
+    if (isCalledOff(run.header) && !engine.isHalted) {
       engine.halt();
       this.sweep(run.id);
     }
@@ -320,7 +315,7 @@
       frozen: saved.finals,
       clearings: saved.clearings,
       past: pastOf(id, header, loaded.ended, (key) => view.entries.has(key)),
-      pastRun: (step) => this.pastRun(run, step),
+      pastRun: (step) => this.past.said(run.header, step.id),
       onRetry: (step, after) => {
         clock.after(after, () => {
           if (this.stopped || run.engine !== engine) return;
@@ -350,10 +345,6 @@
     }
   }
 
-  private pastRun(run: LiveRun, step: Step): PastRun {
-    return this.past.said(run.header, step.id);
-  }
-
   private lookAtPast(run: LiveRun): void {
     if (run.engine === null) return;
     this.past
@@ -487,9 +478,8 @@
     engine.submitted(step, attempt);
     run.open.set(step, job);
     this.record(run, engine, step, attempt, job);
-    const { aborted, timedOut } = run.header;
     // The word came in between: the job is there, so it is swept like the others.
-    if (aborted || timedOut) this.doors.sweepWithdrawn([job]);
+    if (isCalledOff(run.header)) this.doors.sweepWithdrawn([job]);
     if (engine.hasReady) this.ring.add(run);
   }
 
--- a/src/graphs/service/uploads.ts
+++ b/src/graphs/service/uploads.ts
@@ -1,7 +1,7 @@
 import type { BlockContext } from "../../coordination/context.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { describeError } from "../../transport/log.js";
-import { endedKey, graphKey, partPrefix, planKey, uploadKey, uploadOfKey } from "./records.js";
+import { endedKey, graphKey, partPrefix, planKey, readUpload, uploadKey, uploadOfKey } from "./records.js";
 
 /** Parts of a definition whose rest has not come by then are dropped; users give up long before. */
 const PATIENCE = seconds(900);
@@ -59,12 +59,12 @@
     if (reply.value.entries.length > AT_ONCE) return;
     const marker = view.entries.get(uploadKey(id));
     if (marker === undefined) return;
-    const { plan, chunks } = marker.value as { readonly plan?: string; readonly chunks?: number };
+    const { plan, chunks = 0 } = readUpload(marker.value);
     if (plan !== undefined && !view.entries.has(graphKey(id))) {
       // Its run may have ended since: then the chunks are what it is remembered by.
       const ended = await store.get(endedKey(id));
       if (ended.kind !== "ok" && ended.kind !== "missing") return;
-      for (let at = 0; ended.kind === "missing" && at < (chunks ?? 0); at += 1) {
+      for (let at = 0; ended.kind === "missing" && at < chunks; at += 1) {
         const key = planKey(id, plan, at);
         // Whoever uploads it anew writes the marker first: then these come too late.
         const still = new Map([...own, [uploadKey(id), marker.version]]);
--- a/src/whatif/graph-load.ts
+++ b/src/whatif/graph-load.ts
@@ -1,6 +1,7 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { jobKey, readJob } from "../bookkeeping/records.js";
-import { describing, graphsWith, type Plan, partsOfJobId } from "../graphs/index.js";
+import { call, graphBodies } from "../client.js";
+import { describing, downstreamOf, graphsWith, type Plan, partsOfJobId } from "../graphs/index.js";
 import {
   type Behaviour,
   HostClock,
@@ -58,7 +59,6 @@
 }
 
 const OWN = /^(c\/graph|c\/gsum|c\/upload|g|ge|gl)\//;
-const PART = 24_000;
 
 const job = (spec: GraphLoadSpec): Readonly<Record<string, unknown>> => ({
   jobclass: "batch",
@@ -150,9 +150,7 @@
     private readonly plan: Plan,
     private readonly now: () => number,
   ) {
-    const below: number[][] = plan.steps.map(() => []);
-    for (const [at, step] of plan.steps.entries()) for (const up of step.upstream) below[up]?.push(at);
-    this.below = below;
+    this.below = downstreamOf(plan);
   }
 
   private graphOf(task: string): { readonly graph: string; readonly step: number } | null {
@@ -206,13 +204,7 @@
   ref: string,
   at: number,
 ): Promise<void> => {
-  const pieces = Math.ceil(text.length / PART);
-  const bodies =
-    text.length < 60_000
-      ? [text]
-      : Array.from({ length: pieces }, (_, part) =>
-          JSON.stringify({ ref, part, parts: pieces, text: text.slice(part * PART, (part + 1) * PART) }),
-        );
+  const bodies = graphBodies(ref, text);
   for (const [part, body] of bodies.entries()) {
     for (;;) {
       const { status, retryAfterS } = await ask((at + part) % 3, body);
@@ -335,7 +327,6 @@
   textOf: (ref: string) => string,
   progress: (now: number, ended: number) => void,
 ): Promise<Played> => {
-  const { call } = await import("../client.js");
   const books: Watch[] = [];
   const site = await LocalSite.start({
     spec: siteOf(spec),
--- a/src/whatif/plots.ts
+++ b/src/whatif/plots.ts
@@ -28,19 +28,21 @@
 
 const base = { $schema: "https://vega.github.io/schema/vega-lite/v6.json", width: WIDTH, height: HEIGHT } as const;
 
-/** Machines, running and waiting tasks over time, of each variant's first seed. */
-export const seriesPlot = (variants: readonly Variant[]): Promise<string> => {
-  const values = variants.flatMap(({ name, outcomes }) =>
-    thinned(outcomes[0]?.series ?? []).flatMap(({ at, machines, running, queued }) =>
-      Object.entries({ machines, "tasks running": running, "tasks waiting": queued }).map(([what, count]) => ({
-        variant: name,
-        minutes: at / MINUTE,
-        what,
-        count,
-      })),
-    ),
-  );
-  return svgOf({
+/** How lines are drawn. */
+interface LineMark {
+  readonly type: "line";
+  readonly interpolate?: "step-after";
+  readonly strokeWidth?: number;
+  readonly point?: boolean;
+}
+
+/** One low plot below the other for each value of `what`, each with a scale of its own. */
+const rowsOf = (
+  values: Record<string, unknown>[],
+  mark: LineMark,
+  { x, y, color }: { readonly x: string; readonly y: string; readonly color: string },
+): Promise<string> =>
+  svgOf({
     ...base,
     height: HEIGHT / 2,
     data: { values },
@@ -48,15 +50,30 @@
     spec: {
       width: WIDTH,
       height: HEIGHT / 2,
-      mark: { type: "line", interpolate: "step-after", strokeWidth: 1.2 },
+      mark,
       encoding: {
-        x: { field: "minutes", type: "quantitative", title: "minutes" },
-        y: { field: "count", type: "quantitative", title: null },
-        color: { field: "variant", type: "nominal" },
+        x: { field: x, type: "quantitative", title: x },
+        y: { field: y, type: "quantitative", title: null },
+        color: { field: color, type: "nominal" },
       },
     },
     resolve: { scale: { y: "independent" } },
   });
+
+/** Machines, running and waiting tasks over time, of each variant's first seed. */
+export const seriesPlot = (variants: readonly Variant[]): Promise<string> => {
+  const values = variants.flatMap(({ name, outcomes }) =>
+    thinned(outcomes[0]?.series ?? []).flatMap(({ at, machines, running, queued }) =>
+      Object.entries({ machines, "tasks running": running, "tasks waiting": queued }).map(([what, count]) => ({
+        variant: name,
+        minutes: at / MINUTE,
+        what,
+        count,
+      })),
+    ),
+  );
+  const mark = { type: "line", interpolate: "step-after", strokeWidth: 1.2 } as const;
+  return rowsOf(values, mark, { x: "minutes", y: "count", color: "variant" });
 };
 
 const quantileCurve = (waits: readonly number[]): readonly { seconds: number; share: number }[] => {
@@ -179,21 +196,5 @@
       "tasks killed by leases, share of those running": running === 0 ? 0 : killedByLease / running,
     }).map(([what, share]) => ({ machines, controllers: bounded ? "bounded" : "as before", what, share })),
   );
-  return svgOf({
-    ...base,
-    height: HEIGHT / 2,
-    data: { values },
-    facet: { row: { field: "what", type: "nominal", title: null } },
-    spec: {
-      width: WIDTH,
-      height: HEIGHT / 2,
-      mark: { type: "line", point: true },
-      encoding: {
-        x: { field: "machines", type: "quantitative", title: "machines" },
-        y: { field: "share", type: "quantitative", title: null },
-        color: { field: "controllers", type: "nominal" },
-      },
-    },
-    resolve: { scale: { y: "independent" } },
-  });
+  return rowsOf(values, { type: "line", point: true }, { x: "machines", y: "share", color: "controllers" });
 };
--- a/test/graph-fixtures.ts
+++ b/test/graph-fixtures.ts
@@ -1,4 +1,4 @@
-import { type Plan, type Step, TRIGGER_RULES } from "../src/graphs/index.js";
+import { DEFAULT_STEP, type Plan, type Step, TRIGGER_RULES } from "../src/graphs/index.js";
 import type { Random } from "../src/model/index.js";
 import { DEFAULT_RETRIES } from "../src/settings/graph-options.js";
 
@@ -27,18 +27,7 @@
 };
 
 export const stepOf = (fields: Partial<Step> & { readonly id: string }): Step => ({
-  kind: "job",
-  upstream: [],
-  rule: "all_success",
-  retry: { retries: null, delayS: 0, exponential: false, maxDelayS: null },
-  timeoutS: null,
-  pool: null,
-  weight: 1,
-  weightRule: "downstream",
-  dependsOnPast: false,
-  setup: false,
-  cuts: [],
-  cutsAll: false,
+  ...DEFAULT_STEP,
   job: fields.kind === undefined || fields.kind === "job" ? 0 : null,
   ...fields,
 });
