--- a/test/graph-run.test.ts
+++ b/test/graph-run.test.ts
@@ -250,6 +250,15 @@
   assert.equal(own[3], 0);
 });
 
+test("weights of a large graph go along the heaviest way, so that a chain of twenty thousand steps gets its order", () => {
+  // Counting all that each step reaches held a controller up for minutes.
+  const steps = Array.from({ length: 20_000 }, (_, at) =>
+    stepOf({ id: `s${at}`, upstream: at === 0 ? [] : [at - 1], weight: 2 }),
+  );
+  const order = ownOrder(planOf(steps));
+  assert.deepEqual([order[0], order[1], order[19_999]], [0, 1, 19_999]);
+});
+
 test("a halted run ends once its open steps have; what never started is skipped", () => {
   const run = runOf(planOf([stepOf({ id: "a" }), stepOf({ id: "b", upstream: [0] }), stepOf({ id: "c" })]));
   run.submitted(0, 1);
