Nobody starves: who is served by class and team, in the checker and in what-if; the longest waiting go first below 0.6

Cause: by strict priority a low rank waits for ever beside enough of a higher one. On a model of four full machines one of twenty low jobs was begun in 400 s, and none of ten tasks beside an array of 100,000; with it, more than half are done. A class or team of which fewer than 0.6 of the jobs have begun has those that waited for 20 s placed first, up to a tenth of the room together, and these are not stopped for a higher rank.

--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -40,6 +40,8 @@
       placed: new Set(),
       done: 0,
       entitled: false,
+      begun: false,
+      lifted: false,
       seenAt: this.clock.now(),
       ending: false,
       failedOn: new Set(),
@@ -65,6 +67,7 @@
     while (job.ranges.length < index) this.makeRange(job, 0, null);
     const records = readRange(value);
     const range = this.makeRange(job, version, records);
+    job.begun ||= records.some((record) => record.kind === "done" || record.attempt > 0);
     for (const task of range.tasks) {
       const record = task.durable;
       if (record.kind !== "placed") continue;
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -117,6 +117,10 @@
   done: number;
   /** Fits, or once fitted, into its team's guarantee together with the team's earlier unfinished jobs. */
   entitled: boolean;
+  /** A task of it has been placed at some time. */
+  begun: boolean;
+  /** Goes first, since too few of its class or team have begun (decisions/served.ts). */
+  lifted: boolean;
   readonly seenAt: Micros;
   ending: boolean;
   /** Machines on which a task of it failed since one last succeeded. */
--- a/src/commands/outcome-text.ts
+++ b/src/commands/outcome-text.ts
@@ -1,4 +1,4 @@
-import type { Outcome } from "../whatif/index.js";
+import type { Outcome, ServedGroup } from "../whatif/index.js";
 import { span, table } from "./cli.js";
 import { remarkLine } from "./with-whatif.js";
 
@@ -10,11 +10,19 @@
   stuck: "nothing moved any more, though jobs were open",
 };
 
+/** Marked where it is less than half: on such a day somebody starves. */
+const servedRow = (name: string, { jobs, started, done }: ServedGroup): string[] => [
+  done < 0.5 ? `${name} (!)` : name,
+  String(jobs),
+  percent(started),
+  percent(done),
+];
+
 export const LATE_SHOWN = 20;
 
 /** A result for a person. */
 export const summaryOf = (outcome: Outcome): string => {
-  const { totals, waits, byCause, jobs, unmatched, remarks } = outcome;
+  const { totals, waits, served, byCause, jobs, unmatched, remarks } = outcome;
   const parts = [
     `${outcome.trace}, ${outcome.mode} model, seed ${outcome.seed}: ended after ${span(outcome.endedUs)}, ${ENDED[outcome.ended]}`,
     "",
@@ -59,6 +67,14 @@
       ]),
     ),
     "",
+    table(
+      ["served", "jobs", "started", "done"],
+      [
+        ...Object.entries(served.classes).map(([name, group]) => servedRow(name, group)),
+        ...Object.entries(served.teams).map(([name, group]) => servedRow(`team ${name}`, group)),
+      ],
+    ),
+    "",
     table(
       ["starts by what kept them", "starts"],
       Object.entries(byCause).map(([cause, count]) => [cause, String(count)]),
--- a/src/coordination/decisions/preemption.ts
+++ b/src/coordination/decisions/preemption.ts
@@ -84,7 +84,8 @@
   const { now } = picture;
   if (job.cancelled) return null;
   const other = job.spec;
-  if (rankOf(other) > rankOf(task.job.spec)) return "outranked";
+  // What went first so that its class is served at all is not to be stopped by those whom it went before.
+  if (rankOf(other) > rankOf(task.job.spec)) return job.lifted ? null : "outranked";
   // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
   if (other.shape === "service") return null;
   if (other.team === task.job.spec.team || now - task.waitingSince < patience(picture)) return null;
--- a/src/coordination/decisions/round.ts
+++ b/src/coordination/decisions/round.ts
@@ -9,6 +9,7 @@
 import { Allowance, makeRoom, type PreemptAction, type StopMemory } from "./preemption.js";
 import { laneOf } from "./promptness.js";
 import { startRun } from "./run.js";
+import { type Lifted, liftStarved, Served } from "./served.js";
 import { Shares } from "./shares.js";
 import { mayTry } from "./trial.js";
 
@@ -65,12 +66,14 @@
 /** What is kept from round to round. */
 export interface RoundMemory extends StopMemory {
   guaranteesShort: boolean;
+  readonly served: Served;
 }
 
 export const newMemory = (): RoundMemory => ({
   promised: new Map(),
   allowance: new Allowance(),
   guaranteesShort: false,
+  served: new Served(),
 });
 
 /** Where it has become so, it only ends once there is clearly more room than is claimed. */
@@ -127,7 +130,7 @@
 }
 
 /** Places a job's waiting tasks, one after the other. */
-function* place(picture: Picture, job: Job, floor: Floor): Generator<RoundAction, Left> {
+function* place(picture: Picture, job: Job, floor: Floor, lifted: Lifted | null): Generator<RoundAction, Left> {
   const { block, now } = picture;
   const { spec } = job;
   const counts = zoneCounts(job);
@@ -137,7 +140,13 @@
     // Keeps the other zones out even before the first task is there.
     counts.set(zone, Number.MIN_VALUE);
   }
-  if (spec.shape === "gang") return yield* placeGang(picture, job, floor, counts);
+  if (spec.shape === "gang") {
+    const all = spec.demand.cpu * spec.tasks;
+    if (lifted !== null && lifted.left < all) return null;
+    const left = yield* placeGang(picture, job, floor, counts);
+    if (lifted !== null && job.waiting.size === 0) lifted.left -= all;
+    return left;
+  }
   const tasks = [...job.waiting].filter((task) => task.notBefore <= now).sort((a, b) => a.index - b.index);
   const first = tasks[0];
   if (first !== undefined && knownFull(spec, floor)) {
@@ -148,7 +157,7 @@
   const run = startRun(picture, job, floor, counts);
   const lane = laneOf(job, picture.settings);
   for (const task of tasks) {
-    if (mayTry(job, now) === 0) return null;
+    if (mayTry(job, now) === 0 || (lifted !== null && lifted.left < spec.demand.cpu)) return null;
     if (!block.withinLimit(spec)) {
       yield { kind: "wait", job, reason: "team limit" };
       return null;
@@ -171,6 +180,7 @@
     yield { kind: "place", task, machine: server.machine };
     assign(spec, server);
     run.taken(server);
+    if (lifted !== null) lifted.left -= spec.demand.cpu;
   }
   return job.waiting.size === 0 && block.openRange(job) ? "more" : null;
 }
@@ -191,18 +201,35 @@
     yield { kind: "guarantees", short, claimed: shares.claimed, room };
   }
   const running = floor.machines.reduce((sum, { tasks }) => sum + tasks.size, 0);
+  const lifted = liftStarved(picture, memory.served, jobs, room);
+  for (const job of lifted.jobs) yield* placeAll(picture, memory, job, floor, running, lifted);
   for (const job of jobs) {
     // Not looked at any closer: with thousands of jobs waiting for the records, rounds would take seconds to no avail.
     if (floor.records[laneOf(job, picture.settings)] < 1 && !job.ranges.some(({ marked }) => marked !== null)) {
       yield { kind: "wait", job, reason: "records" };
       continue;
     }
-    const before = job.placed.size;
-    let left = yield* place(picture, job, floor);
-    while (left === "more") left = yield* place(picture, job, floor);
-    for (let at = before; at < job.placed.size; at += 1) memory.allowance.started(running);
+    if (job.waiting.size === 0) continue;
+    const left = yield* placeAll(picture, memory, job, floor, running, null);
     if (left === null) continue;
     yield { kind: "wait", job, reason: job.spec.oneZone && job.placed.size === 0 ? "no zone" : "no room" };
     if (job.spec.shape !== "gang") yield* makeRoom(picture, memory, left, floor);
   }
 }
+
+/** Range by range. Returns the first task without room, if there is one. */
+function* placeAll(
+  picture: Picture,
+  memory: RoundMemory,
+  job: Job,
+  floor: Floor,
+  running: number,
+  lifted: Lifted | null,
+): Generator<RoundAction, Task | null> {
+  const before = job.placed.size;
+  let left = yield* place(picture, job, floor, lifted);
+  while (left === "more") left = yield* place(picture, job, floor, lifted);
+  for (let at = before; at < job.placed.size; at += 1) memory.allowance.started(running);
+  if (job.placed.size > before) memory.served.placed(job);
+  return left;
+}
--- a/src/whatif/index.ts
+++ b/src/whatif/index.ts
@@ -16,7 +16,7 @@
 export { Ledger } from "./ledger.js";
 export { type ControllerSize, type LoadResult, type LoadSpec, playLoad } from "./load.js";
 export { type Agreement, agreement, type LoopbackRequest, playOnLoopback } from "./on-loopback.js";
-export type { DelayCause, JobOutcome, Outcome } from "./outcome.js";
+export type { DelayCause, JobOutcome, Outcome, ServedGroup } from "./outcome.js";
 export { addLoad, applySettings, parseSetting, type Scenario, type Setting } from "./overrides.js";
 export type { Unmatched } from "./player.js";
 export { replayAll } from "./pool.js";
--- a/src/whatif/ledger.ts
+++ b/src/whatif/ledger.ts
@@ -8,7 +8,7 @@
   type Submission,
   type Witness,
 } from "../model/index.js";
-import type { AimOutcome, DelayCause, JobOutcome, JobPhase, Outcome, Sample, Waits } from "./outcome.js";
+import type { AimOutcome, DelayCause, JobOutcome, JobPhase, Outcome, Sample, ServedGroups, Waits } from "./outcome.js";
 
 const SECOND = 1_000_000;
 const HOUR = 3_600 * SECOND;
@@ -343,6 +343,27 @@
     });
   }
 
+  private servedBy(jobs: readonly JobOutcome[], groupOf: (job: JobOutcome) => string): ServedGroups {
+    const groups = new Map<string, { jobs: number; started: number; done: number }>();
+    for (const job of jobs) {
+      if (job.phase === "refused" || job.phase === "cancelled") continue;
+      const group = groups.get(groupOf(job)) ?? { jobs: 0, started: 0, done: 0 };
+      groups.set(groupOf(job), group);
+      const started = job.firstStartUs !== null;
+      group.jobs += 1;
+      if (started) group.started += 1;
+      if (job.service ? started : job.phase === "done") group.done += 1;
+    }
+    return Object.fromEntries(
+      [...groups]
+        .sort(([a], [b]) => (a < b ? -1 : 1))
+        .map(([name, { jobs: all, started, done }]) => [
+          name,
+          { jobs: all, started: rounded(started / all), done: rounded(done / all) },
+        ]),
+    );
+  }
+
   /** Closes the books; nothing is to be told afterwards. */
   outcome(run: Pick<Outcome, "mode" | "trace" | "seed" | "ended" | "unmatched" | "remarks">): Outcome {
     for (const [task, stay] of this.stays) {
@@ -381,6 +402,10 @@
       byCause: { ...this.byCause },
       waits: this.waits(),
       aims: this.aims(),
+      served: {
+        classes: this.servedBy(jobs, ({ jobClass }) => jobClass),
+        teams: this.servedBy(jobs, ({ team }) => team),
+      },
       jobs,
       finishing: [...this.finishing],
       series: this.series.filter((_, at) => at % step === 0),
--- a/src/whatif/metrics.ts
+++ b/src/whatif/metrics.ts
@@ -22,10 +22,17 @@
   return reached.length === 0 ? null : reached.reduce((sum, share) => sum + share, 0) / reached.length;
 };
 
+/** The worst that any class or team came away with. */
+const leastServed = ({ served }: Outcome): number | null => {
+  const shares = [...Object.values(served.classes), ...Object.values(served.teams)].map(({ done }) => done);
+  return shares.length === 0 ? null : Math.min(...shares);
+};
+
 const GENERAL: readonly Metric[] = [
   { name: "cost", unit: "money", better: "less", of: ({ totals }) => totals.cost },
   { name: "price", unit: "ratio", better: "less", of: ({ totals }) => totals.price },
   { name: "starts in time", unit: "share", better: "more", of: inTime },
+  { name: "least served class or team", unit: "share", better: "more", of: leastServed },
   { name: "late jobs", unit: "count", better: "less", of: ({ totals }) => totals.late },
   { name: "jobs never started", unit: "count", better: "less", of: ({ totals }) => totals.neverStarted },
   { name: "utilisation", unit: "share", better: "more", of: ({ totals }) => totals.utilisation },
--- a/src/whatif/outcome.ts
+++ b/src/whatif/outcome.ts
@@ -38,6 +38,17 @@
   readonly mostUs: number;
 }
 
+/** How many jobs of a class or a team came to their due; without those refused for good or cancelled by their users. */
+export interface ServedGroup {
+  readonly jobs: number;
+  /** Share of them of which a task was on a machine at some time. */
+  readonly started: number;
+  /** Share of them that completed; services, which never do, count once they have run. */
+  readonly done: number;
+}
+
+export type ServedGroups = Readonly<Record<string, ServedGroup>>;
+
 /** What the site expects of first starts, and what came of it. */
 export interface AimOutcome {
   readonly jobClass: string;
@@ -86,6 +97,8 @@
   readonly byCause: Readonly<Record<DelayCause, number>>;
   readonly waits: Readonly<Record<string, Waits>>;
   readonly aims: readonly AimOutcome[];
+  /** By class and by team: nobody is to come away with less than half. */
+  readonly served: { readonly classes: ServedGroups; readonly teams: ServedGroups };
   readonly jobs: readonly JobOutcome[];
   /** Batch jobs in the order in which they finished. */
   readonly finishing: readonly string[];
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -44,6 +44,7 @@
   const missing = cluster.missingReplicas();
   const whose = missing[0]?.split("/")[0] ?? "-";
   assert.deepEqual(missing, [], `seed ${seed}: replicas missing at the end\n${cluster.story(whose)}`);
+  assert.deepEqual(cluster.checker.starved(), [], `seed ${seed}: less than half served`);
   assert.ok(cluster.checker.starts > 20, `seed ${seed}: hardly anything ran`);
 };
 
@@ -83,6 +84,7 @@
   assert.deepEqual(cluster.errors, [], `seed ${seed}: errors logged`);
   assert.deepEqual(cluster.unfinished(), [], `seed ${seed}: never finished`);
   assert.deepEqual(cluster.missingReplicas(), [], `seed ${seed}: replicas missing at the end`);
+  assert.deepEqual(cluster.checker.starved(), [], `seed ${seed}: less than half served`);
   assert.ok(cluster.checker.starts > 1_500, `seed ${seed}: ${cluster.checker.starts} starts`);
   return cluster;
 };
--- /dev/null
+++ b/test/served.test.ts
@@ -0,0 +1,173 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Block } from "../src/bookkeeping/block.js";
+import { newMachine } from "../src/bookkeeping/machines.js";
+import type { Job, Task } from "../src/bookkeeping/picture.js";
+import { attemptOf } from "../src/bookkeeping/tasks.js";
+import { applyAction, decideRound, newMemory } from "../src/coordination/decisions/round.js";
+import { HostClock, World } from "../src/model/index.js";
+import { readSubmission } from "../src/protocol/user.js";
+import { DEFAULT_OPTIONS } from "../src/settings/options.js";
+import { parseSettings } from "../src/settings/settings.js";
+import { seconds } from "../src/transport/clock.js";
+import { bigType, settingsText } from "./fixtures.js";
+import { Random } from "./random.js";
+import { plainJob } from "./sim/cluster.js";
+
+const TYPE = bigType(["east"]);
+const TOKEN = 65_536;
+const STEP = 500_000;
+
+type Fields = Parameters<typeof plainJob>[1] & { readonly runS: number };
+
+/** Jobs that come at given times to a fixed number of full machines; everything placed runs its time and is done. */
+class Floor {
+  readonly world = new World();
+  readonly clock = new HostClock(this.world, 1, 0);
+  readonly settings = parseSettings(settingsText(0));
+  readonly block = new Block(this.clock, 128, this.settings.teams, () => new Map([[TYPE.name, TYPE]]));
+  readonly all: { readonly job: Job; readonly runUs: number }[] = [];
+  private readonly memory = newMemory();
+  stops = 0;
+
+  constructor(machines: number) {
+    this.world.now = 1_000_000_000;
+    for (let at = 0; at < machines; at += 1) {
+      const machine = newMachine(`n-${at}`, "big", TYPE, "east", false, this.clock.now());
+      Object.assign(machine, { state: "up", session: 1, seenToken: TOKEN });
+      this.block.machines.set(machine.name, machine);
+    }
+  }
+
+  add({ runS, ...fields }: Fields): void {
+    const spec = readSubmission(
+      plainJob(`wk-${String(this.all.length).padStart(6, "0")}`, { guessS: runS, ...fields }),
+    );
+    this.all.push({ job: this.block.addJob(spec, this.all.length + 1, false), runUs: runS * 1_000_000 });
+  }
+
+  private end(task: Task): void {
+    task.want = { kind: "done" };
+    this.block.vacate(task);
+    task.job.done += 1;
+    if (task.job.done === task.job.spec.tasks) this.block.jobs.delete(task.job.spec.id);
+  }
+
+  step(): void {
+    this.world.now += STEP;
+    const now = this.clock.now();
+    for (const machine of this.block.machines.values()) machine.lastHeard = now;
+    for (const { job, runUs } of this.all) {
+      for (const task of [...job.placed]) {
+        if (task.stop !== null) {
+          this.stops += 1;
+          task.want = { kind: "waiting", attempt: attemptOf(task.want) };
+          this.block.vacate(task);
+        } else if (task.runningSince === null) {
+          Object.assign(task, { launch: { kind: "seen" }, state: "running", runningSince: now });
+        } else if (now - task.runningSince >= runUs) this.end(task);
+      }
+    }
+    const picture = {
+      now,
+      block: this.block,
+      settings: this.settings,
+      options: DEFAULT_OPTIONS,
+      silentAfter: seconds(5),
+      searches: 24,
+      records: { prompt: Number.POSITIVE_INFINITY, work: Number.POSITIVE_INFINITY },
+      guaranteesShort: false,
+      firstToken: TOKEN,
+      work: { visited: 0 },
+    };
+    for (const action of decideRound(picture, this.memory)) applyAction(this.block, action);
+  }
+
+  /** By class: the share of jobs of which at least one task was placed, and of those that are done. */
+  served(jobClass: string): { readonly begun: number; readonly done: number; readonly jobs: number } {
+    const own = this.all.filter(({ job }) => job.spec.jobClass === jobClass);
+    const share = (is: (job: Job) => boolean): number => own.filter(({ job }) => is(job)).length / own.length;
+    return { jobs: own.length, begun: share(({ begun }) => begun), done: share((job) => job.done === job.spec.tasks) };
+  }
+}
+
+/** Four machines of 16 CPUs that more and more work of the upper rank would fill for good. */
+const beside = (low: (floor: Floor, second: number, random: Random) => void, seconds_ = 400): Floor => {
+  const floor = new Floor(4);
+  const random = new Random(5);
+  for (let half = 0; half < seconds_ * 2; half += 1) {
+    // A tenth more than the machines can carry: 0.9 jobs a second of 4 tasks, 2 CPUs and 10 s each.
+    if (random.chance(0.45)) floor.add({ jobclass: "house", rank: "high", shards: 4, cpus: 2, runS: 10 });
+    if (half % 2 === 0) low(floor, half / 2, random);
+    floor.step();
+  }
+  return floor;
+};
+
+test("a low rank beside more work of a higher one than there is room for is served all the same", () => {
+  const floor = beside((on, second) => {
+    if (second % 20 === 0)
+      on.add({ jobclass: "idle", owner: "capped", rank: "best_effort", shards: 2, cpus: 1, runS: 15 });
+  });
+  const idle = floor.served("idle");
+  // Strictly by rank, one of them was begun: the first.
+  assert.ok(idle.begun >= 0.5 && idle.done >= 0.5, JSON.stringify(idle));
+  const house = floor.served("house");
+  assert.ok(house.done > 0.8, JSON.stringify(house));
+});
+
+test("a team with ten tasks is served beside one with a hundred thousand", () => {
+  const floor = new Floor(4);
+  floor.add({ jobclass: "giant", owner: "open", rank: "high", shards: 100_000, cpus: 2, runS: 20 });
+  for (let at = 0; at < 10; at += 1) floor.step();
+  for (let at = 0; at < 10; at += 1) {
+    floor.add({ jobclass: "few", owner: "capped", rank: "normal", shards: 1, cpus: 1, runS: 20 });
+  }
+  for (let at = 0; at < 400; at += 1) floor.step();
+  const few = floor.served("few");
+  assert.ok(few.done >= 0.5, JSON.stringify(few));
+});
+
+test("a swarm of a guest's does not take more than its share from the house, and is served", () => {
+  const without = beside(() => undefined).served("house");
+  const floor = beside((on, second) => {
+    for (let at = 0; at < 5; at += 1) {
+      if (second < 100)
+        on.add({ jobclass: "swarm", owner: "capped", rank: "best_effort", shards: 1, cpus: 0.25, runS: 30 });
+    }
+  }, 500);
+  const swarm = floor.served("swarm");
+  assert.ok(swarm.begun >= 0.5, JSON.stringify(swarm));
+  const house = floor.served("house");
+  assert.ok(house.begun > without.begun - 0.15, `${JSON.stringify(house)} against ${JSON.stringify(without)}`);
+});
+
+test("what goes first takes no more than a tenth of the room, and is not stopped for a higher rank", () => {
+  const floor = new Floor(4);
+  floor.add({ jobclass: "house", rank: "high", shards: 32, cpus: 2, runS: 30 });
+  floor.step();
+  floor.add({ jobclass: "idle", rank: "best_effort", shards: 50, cpus: 1, runS: 500 });
+  let most = 0;
+  for (let at = 0; at < 400; at += 1) {
+    if (at % 6 === 0) floor.add({ jobclass: "house", rank: "high", shards: 4, cpus: 2, runS: 30 });
+    floor.step();
+    const idle = floor.all.find(({ job }) => job.spec.jobClass === "idle")?.job;
+    most = Math.max(most, idle?.placed.size ?? 0);
+  }
+  const idle = floor.all.find(({ job }) => job.spec.jobClass === "idle")?.job;
+  assert.equal(idle?.lifted, true);
+  // 64 CPUs in all.
+  assert.ok(most >= 1 && most <= 6, `${most} CPUs`);
+  assert.equal(floor.stops, 0);
+});
+
+test("where everybody is served, nobody goes first", () => {
+  const floor = new Floor(4);
+  for (let at = 0; at < 200; at += 1) {
+    if (at % 10 === 0) floor.add({ jobclass: "house", rank: "high", shards: 2, cpus: 2, runS: 10 });
+    if (at % 15 === 0) floor.add({ jobclass: "idle", rank: "best_effort", shards: 2, cpus: 2, runS: 10 });
+    floor.step();
+  }
+  assert.ok(floor.all.every(({ job }) => !job.lifted));
+  assert.equal(floor.served("idle").begun, 1);
+});
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -12,6 +12,7 @@
   readonly together: boolean;
   readonly spread: boolean;
   readonly spot: boolean;
+  readonly jobClass: string;
 }
 
 export interface TrueMachine {
@@ -61,6 +62,7 @@
   /** Cancelled jobs in the order in which the time of their tasks is over. */
   private readonly cancelled: { readonly id: string; readonly until: number }[] = [];
   starts = 0;
+  private readonly everOn = new Set<string>();
   private broken: BrokenRule | null = null;
 
   constructor(
@@ -92,6 +94,7 @@
     const job = this.jobs.get(id);
     if (job === undefined) throw new Error(`no such job ${id}`);
     this.starts += 1;
+    this.everOn.add(id);
     const places = this.on.get(task) ?? new Set();
     if (places.size > 0) this.break("ran_twice", `${task} on ${machine.name} and ${[...places][0]?.name}`);
     this.place(job, machine);
@@ -231,6 +234,32 @@
     }
   }
 
+  /**
+   * By class and by team, of the accepted jobs that their users have not cancelled: the share that has had a task on a
+   * machine, and the share of which all tasks have completed (services: a task has been on a machine).
+   */
+  served(): ReadonlyMap<string, { readonly jobs: number; readonly begun: number; readonly done: number }> {
+    const groups = new Map<string, { jobs: number; begun: number; done: number }>();
+    for (const id of this.accepted()) {
+      const job = this.jobs.get(id);
+      if (job === undefined || this.state(id).cancelAsked) continue;
+      const begun = this.everOn.has(id);
+      const done = job.service ? begun : this.finished.get(id)?.size === job.tasks;
+      for (const name of [`class ${job.jobClass}`, `team ${job.team}`]) {
+        const group = groups.get(name) ?? { jobs: 0, begun: 0, done: 0 };
+        groups.set(name, { jobs: group.jobs + 1, begun: group.begun + Number(begun), done: group.done + Number(done) });
+      }
+    }
+    return new Map(
+      [...groups].map(([name, { jobs, begun, done }]) => [name, { jobs, begun: begun / jobs, done: done / jobs }]),
+    );
+  }
+
+  /** Less than half of it done: names of the classes and teams that come away with too little. */
+  starved(): string[] {
+    return [...this.served()].filter(([, { done }]) => done < 0.5).map(([name]) => name);
+  }
+
   accepted(): string[] {
     return [...this.told].filter(([, told]) => told.accepted).map(([id]) => id);
   }
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -92,6 +92,7 @@
   together: job.together,
   spread: job.spread,
   spot: job.loaner,
+  jobClass: job.jobclass,
 });
 
 /** A site of the emulator with the checker of the rules beside it, and what tests need to steer it. */
