Questions cost what they ask for: running tasks counted by change, a record read once for each of its versions

A question about a large job counted all its tasks at the holder and parsed all its records at the others: 25,000 tasks each time, eight times as often in a poll storm.

--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -39,6 +39,7 @@
       waiting: new Set(),
       placed: new Set(),
       done: 0,
+      running: 0,
       entitled: false,
       begun: false,
       lifted: false,
@@ -144,7 +145,7 @@
     if (machine.tasks.size === 0) machine.idleSince = this.clock.now();
     task.on = null;
     task.launch = { kind: "none" };
-    task.state = null;
+    this.reported(task, null);
     task.runningSince = null;
     task.stop = null;
     task.job.placed.delete(task);
@@ -155,6 +156,14 @@
     this.account(task, -1);
   }
 
+  /** The state in which its worker has last shown the task; null: none. */
+  reported(task: Task, state: Task["state"]): void {
+    const { job } = task;
+    if (task.state === "running") job.running -= 1;
+    if (state === "running") job.running += 1;
+    task.state = state;
+  }
+
   remember(machine: Machine, task: Task): void {
     rememberImage(machine, task.job.spec.image, task.job.spec.imageGb);
   }
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -115,6 +115,8 @@
   /** Tasks that may be on a machine. */
   readonly placed: Set<Task>;
   done: number;
+  /** Tasks last reported as running: users ask for it, and counting them anew each time was dear for large jobs. */
+  running: number;
   /** Fits, or once fitted, into its team's guarantee together with the team's earlier unfinished jobs. */
   entitled: boolean;
   /** A task of it has been placed at some time. */
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -57,6 +57,8 @@
 /** The users' interface, the same at every controller. */
 export class FrontDoor {
   private readonly ends = new Map<string, EndRecord>();
+  /** Of ranges as they stand in the view; gone with the entry itself. */
+  private readonly counts = new WeakMap<Entry, { readonly done: number; readonly running: number }>();
   /** Up to when those turned away have been told to come back. */
   private promisedUntil = 0;
 
@@ -207,11 +209,25 @@
     for (let range = 0; ; range += 1) {
       const entry = this.services.view.entries.get(rangeKey(spec.id, range));
       if (entry === undefined) return { done, running };
-      for (const task of readRange(entry.value)) {
-        if (task.kind === "done") done += 1;
-        if (task.kind === "placed") running += 1;
-      }
+      const counts = this.countsOf(entry);
+      done += counts.done;
+      running += counts.running;
+    }
+  }
+
+  /** A range is read once for each of its versions, however often it is asked about. */
+  private countsOf(entry: Entry): { readonly done: number; readonly running: number } {
+    const known = this.counts.get(entry);
+    if (known !== undefined) return known;
+    let done = 0;
+    let running = 0;
+    for (const task of readRange(entry.value)) {
+      if (task.kind === "done") done += 1;
+      if (task.kind === "placed") running += 1;
     }
+    const counts = { done, running };
+    this.counts.set(entry, counts);
+    return counts;
   }
 
   private async cancel(id: string): Promise<Response> {
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -146,7 +146,7 @@
       task.runningSince = clock.now();
       this.context.block.remember(machine, task);
     }
-    task.state = entry.state;
+    this.context.block.reported(task, entry.state);
   }
 
   private exit(machine: Machine, task: Task, reason: ExitReason): void {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -191,7 +191,7 @@
   running(jobId: string): { done: number; running: number } | null {
     const job = this.context.block.jobs.get(jobId);
     if (job === undefined) return null;
-    return { done: job.done, running: [...job.placed].filter((task) => task.state === "running").length };
+    return { done: job.done, running: job.running };
   }
 
   private known(report: Report): Machine {
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -22,6 +22,8 @@
   private outageUntil = 0;
   private readonly refusedFor = new Map<string, number>();
   private requests = 0;
+  /** Requests received since the beginning, refused ones included. */
+  received = 0;
   private writes = 0;
   /** Writes asked for so far, refused ones included. */
   asked = 0;
@@ -93,6 +95,7 @@
   serve = async (request: Request, from: string): Promise<Response> => {
     if (this.down(from)) return json(503, {});
     this.requests += 1;
+    this.received += 1;
     if (this.requests > this.limits.rps) return json(429, {});
     const url = new URL(request.target, "http://s");
     const path = url.pathname;
