Mesh between controllers: who reaches what, and calls through a sibling where the own way is cut

Cause: a holder that lost the state service alone stopped the fleet for a lease, one that lost the workers handed over, and in a crossed cut the block went back and forth between two that heard no machine. Frames by hand on mesh_addr, beats, an accrual detector, one pure routing decision; renewals, writes, watches, cloud calls, reports and commands go through one sibling.

--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -2,7 +2,7 @@
 import { getHeapStatistics } from "node:v8";
 import type { Sink } from "../bookkeeping/events.js";
 import { Cloud } from "../coordination/cloud.js";
-import { Controller } from "../coordination/controller.js";
+import { Controller, type MakeMesh } from "../coordination/controller.js";
 import type { Load } from "../coordination/overload.js";
 import { shareConnections } from "../settings/connections.js";
 import { loadOptions } from "../settings/options.js";
@@ -74,6 +74,19 @@
   };
 };
 
+/** Connections to the siblings, loaded only where they are switched on. */
+const meshOf = async (
+  settings: Loaded["settings"],
+  incarnation: string,
+  clock: Clock,
+  log: Log,
+  http: HttpClient,
+): Promise<MakeMesh> => {
+  const { meshWith, NetWires } = await import("../mesh/index.js");
+  const wires = new NetWires(settings.meshListen, log);
+  return meshWith({ settings, incarnation, clock, log, http, random: Math.random, wires });
+};
+
 /** Serves as one controller until killed. */
 export const serve = async ({ settings, options }: Loaded): Promise<void> => {
   const log = createLog(settings.label, process.env.LOG_LEVEL);
@@ -89,8 +102,9 @@
   const load = loadOf(settings, clock, () => server.connections + http.connections);
   // Loaded only where it is switched on.
   const extension = options.graphs === null ? null : (await import("../graphs/index.js")).graphsWith(options.graphs);
-  const outside = { clock, log, http, random: Math.random, sink, load, wall: Date.now, extension };
   const incarnation = randomBytes(8).toString("hex");
+  const mesh = options.mesh ? await meshOf(settings, incarnation, clock, log, http) : null;
+  const outside = { clock, log, http, random: Math.random, sink, load, wall: Date.now, extension, mesh };
   const controller = new Controller(outside, settings, options, incarnation);
   const server: HttpServer = new HttpServer(
     clock,
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -31,6 +31,8 @@
   /** Time of day in milliseconds, true within `settings.clockError`; null where there is none to rely on. */
   readonly wall: (() => number) | null;
   readonly spent: ((looks: number) => void) | null;
+  /** Where controllers are connected: when the own way to the workers was last found cut, or open again. */
+  readonly deafChangedAt: () => Micros | null;
 }
 
 /** A leased block of machines. `number` is fresh at every handover. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -8,7 +8,7 @@
 import { type Report, readReportText, redirectAnswer, reportAnswer } from "../protocol/worker.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
-import { type Clock, seconds, sleep } from "../transport/clock.js";
+import { type Clock, type Micros, seconds, sleep } from "../transport/clock.js";
 import type { HttpClient, Request, Response } from "../transport/http.js";
 import { describeError, type Log } from "../transport/log.js";
 import { Cloud } from "./cloud.js";
@@ -16,7 +16,7 @@
 import type { Extension, MakeExtension } from "./extension.js";
 import { FrontDoor } from "./front-door.js";
 import { Membership } from "./membership.js";
-import { type LoadSource, Overload } from "./overload.js";
+import { LEVELS, type LoadSource, Overload } from "./overload.js";
 import { Steward } from "./steward.js";
 
 /**
@@ -41,8 +41,29 @@
   readonly spent?: (looks: number) => void;
   /** What makes jobs of its own, where that is switched on. */
   readonly extension?: MakeExtension | null;
+  /** Connections to the other controllers, where these are switched on. */
+  readonly mesh?: MakeMesh | null;
 }
 
+/** What the controller makes use of where it has a mesh. */
+export interface MeshPort {
+  readonly client: HttpClient;
+  start(): void;
+  heardWorker(address: string): void;
+  heardThrough(address: string, peer: string): void;
+  carryReport(holder: string, request: Request): Promise<Response | null>;
+  table(): object;
+  readonly deafChangedAt: Micros | null;
+}
+
+export interface MeshAround {
+  readonly level: () => number;
+  readonly holding: () => { readonly machines: number; readonly since: Micros } | null;
+  readonly report: (request: Request, through: string) => Promise<Response>;
+}
+
+export type MakeMesh = (around: MeshAround) => MeshPort;
+
 /** One controller: what `main` and the simulated clusters of the tests both start. */
 export class Controller {
   private readonly services: Services;
@@ -52,9 +73,17 @@
   private readonly frontDoor: FrontDoor;
   private readonly stewards = new Map<number, Steward>();
   private readonly extension: Extension | null;
+  private readonly mesh: MeshPort | null;
 
   constructor(outside: Outside, settings: Settings, options: Options, incarnation: string) {
-    const { clock, log, http, random } = outside;
+    const { clock, log, random } = outside;
+    this.mesh =
+      outside.mesh?.({
+        level: () => LEVELS.indexOf(this.services.overload.level),
+        holding: () => this.heldMachines(),
+        report: async (request, through) => this.hello(request.body, through),
+      }) ?? null;
+    const http = this.mesh?.client ?? outside.http;
     const store = new Store(
       http,
       settings.stateAddress,
@@ -83,7 +112,7 @@
     const sink = outside.sink ?? null;
     const spent = outside.spent ?? null;
     const wall = outside.wall ?? null;
-    const own = { clock, log, http, random, wall };
+    const own = { clock, log, http, random, wall, deafChangedAt: () => this.mesh?.deafChangedAt ?? null };
     this.services = { ...own, settings, options, store, committer, view, sink, overload, spent };
     this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
     this.extension = outside.extension?.(this.services, this.types) ?? null;
@@ -124,6 +153,7 @@
     const keep = (name: string, work: Promise<unknown>): void => {
       work.catch((error: unknown) => log.error("loop ended", { name, error: describeError(error) }));
     };
+    this.mesh?.start();
     keep("view", view.follow());
     keep("membership", this.membership.run());
     keep("types", this.fetchTypes());
@@ -131,12 +161,37 @@
 
   async handle(request: Request): Promise<Response> {
     if (request.target === "/hello") {
-      return request.method === "POST" ? this.hello(request.body) : { status: 405, body: "{}" };
+      if (request.method !== "POST") return { status: 405, body: "{}" };
+      return (await this.carried(request)) ?? this.hello(request.body, null);
+    }
+    if (request.target === "/links" && this.mesh !== null) {
+      return { status: 200, body: formatJson(this.mesh.table()) };
     }
     return this.extension?.handle(request) ?? this.frontDoor.handle(request);
   }
 
-  private hello(body: string): Response {
+  /** The holder hears no worker itself, but can be reached from here: it answers through us. */
+  private async carried(request: Request): Promise<Response | null> {
+    if (this.mesh === null || this.stewards.size > 0) return null;
+    // There is one block; with several, the machine's name tells whose it is.
+    const holder = this.membership.holder(0);
+    if (holder === null || holder === this.services.settings.label) return null;
+    return this.mesh.carryReport(holder, request);
+  }
+
+  private heldMachines(): { machines: number; since: Micros } | null {
+    if (this.stewards.size === 0) return null;
+    let machines = 0;
+    let since = 0 as Micros;
+    for (const { upMachines, takenAt } of this.stewards.values()) {
+      machines += upMachines;
+      since = Math.max(since, takenAt) as Micros;
+    }
+    return { machines, since };
+  }
+
+  /** `through`: the sibling that it came to; null: it came here. */
+  private hello(body: string, through: string | null): Response {
     let report: Report;
     try {
       report = readReportText(body, (machine) => this.stewards.get(homeBlock(machine))?.listingOf(machine) ?? null);
@@ -154,6 +209,8 @@
       const elsewhere = holder === this.services.settings.label ? null : holder;
       return { status: 421, body: formatJson(redirectAnswer(elsewhere)) };
     }
+    if (through === null) this.mesh?.heardWorker(report.address);
+    else this.mesh?.heardThrough(report.address, through);
     const answer = steward.report(report);
     if (answer === null) return { status: 503, body: "{}" };
     return { status: 200, body: formatJson(reportAnswer(answer.token, answer.commands)) };
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -40,6 +40,10 @@
 const QUICK_LANES = 96;
 const SLOW_LANES = 16;
 const MAX_INTRODUCTIONS = 24;
+/** Reports come a quarter later at most, are given up after so long, and then go to the next controller. */
+const LONGEST_REPORT = 1.25;
+const REPORT_PATIENCE = seconds(4);
+const NEXT_NODE = seconds(3);
 /** Where the processor is short, the machines' own reports are to be read first. */
 const FEW_INQUIRIES = 6;
 /** Between rounds under load. */
@@ -70,7 +74,7 @@
   private lastRound: Micros = 0 as Micros;
   /** When workers were last able to reach us without a gap. */
   private settledFrom: Micros;
-  private readonly takenAt: Micros;
+  readonly takenAt: Micros;
   private wasValid = true;
   private invalidSince: Micros = 0 as Micros;
   private typesAt: Micros = 0 as Micros;
@@ -176,6 +180,13 @@
     };
   }
 
+  /** Machines that have been heard of here. */
+  get upMachines(): number {
+    let count = 0;
+    for (const { state } of this.context.block.machines.values()) if (state === "up") count += 1;
+    return count;
+  }
+
   get size(): { readonly machines: number; readonly tasks: number } {
     const { machines, jobs } = this.context.block;
     let tasks = 0;
@@ -439,7 +450,7 @@
   private silence(): void {
     const { clock, settings, options, log, view } = this.services;
     const now = clock.now();
-    if (now < this.settledFrom) return;
+    if (now < this.settledFrom || now < this.wayAround()) return;
     const limit = settings.workers.report * options.silentReports;
     // One that is only known from the records, and by now should have been heard of, counts like one fallen silent.
     const up = [...this.context.block.machines.values()].filter(
@@ -485,6 +496,17 @@
     void this.guard(this.rental.remove(lost));
   }
 
+  /**
+   * Workers that cannot reach this controller come to it through others, once their next report is due, has failed here
+   * and has been tried there. Until then silence says nothing: three machines were given up that a sibling reached.
+   */
+  private wayAround(): Micros {
+    const { deafChangedAt, settings } = this.services;
+    const changed = deafChangedAt();
+    if (changed === null) return 0 as Micros;
+    return (changed + Math.ceil(settings.workers.report * LONGEST_REPORT) + REPORT_PATIENCE + NEXT_NODE) as Micros;
+  }
+
   private since(time: Micros): Micros {
     return (this.services.clock.now() - time) as Micros;
   }
--- a/src/model/network.ts
+++ b/src/model/network.ts
@@ -74,6 +74,16 @@
     return this.cuts.find((cut) => cut.between(a, b) || cut.between(b, a));
   }
 
+  /** The cut between two hosts now, if there is one. */
+  cutFor(a: string, b: string): Cut | undefined {
+    return this.cutBetween(a, b);
+  }
+
+  /** How long a message between two hosts takes. */
+  travel(): number {
+    return this.delay();
+  }
+
   private delay(): number {
     return 300 + this.random.int(0, 1_500);
   }
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -1,6 +1,7 @@
 import type { SiteEvent } from "../bookkeeping/events.js";
 import { Controller, type Outside } from "../coordination/controller.js";
 import type { MakeExtension } from "../coordination/extension.js";
+import { meshWith } from "../mesh/index.js";
 import type { Options } from "../settings/options.js";
 import type { Settings } from "../settings/settings.js";
 import type { Log, LogFields } from "../transport/log.js";
@@ -13,6 +14,7 @@
 import { StateService } from "./state-service.js";
 import { type Behaviour, Truth } from "./truth.js";
 import { type Hearing, PLAIN_USERS, type Quirks, type Submission, Users } from "./users.js";
+import { SimWires } from "./wires.js";
 import type { Witness } from "./witness.js";
 import { type Surroundings, Worker } from "./worker.js";
 import { HostClock, S, World } from "./world.js";
@@ -75,6 +77,7 @@
   readonly truth = new Truth();
   readonly addresses: Addresses;
   private readonly watch: SiteWatch;
+  readonly wires: SimWires;
   private readonly nodes: Node[];
   private readonly settings: readonly Settings[];
 
@@ -94,6 +97,12 @@
       { rps: state.rps, writeRps: state.writeRps, txnOps: state.txnOps, valueBytes: state.valueKb * 1_024 },
       setup.stateLog,
     );
+    const { mesh, controllers } = this.addresses;
+    this.wires = new SimWires(
+      this.world,
+      this.network,
+      new Map(mesh.map((address, at) => [address, controllers[at] ?? ""])),
+    );
     this.network.add({
       address: this.addresses.state,
       serve: (request, from) => this.state.serve(request, from),
@@ -184,7 +193,10 @@
       wall: () => WALL_MS + this.world.now / 1_000 + (at % 2 === 0 ? 1 : -1) * CLOCK_ERROR_MS,
       ...(door === null ? {} : this.bounded(at, door)),
     };
-    node.controller = new Controller(outside, settings, this.setup.options, `inc-${at}-${node.starts}`);
+    const incarnation = `inc-${at}-${node.starts}`;
+    const wires = this.wires.of(this.addresses.mesh[at] ?? "", clock);
+    const mesh = this.setup.options.mesh ? meshWith({ ...outside, settings, incarnation, wires }) : null;
+    node.controller = new Controller({ ...outside, mesh }, settings, this.setup.options, incarnation);
     node.host.state = "up";
     node.controller.start();
   }
@@ -230,6 +242,7 @@
     const node = this.nodes[at];
     if (node === undefined || node.controller === null) return;
     node.clock.dead = true;
+    this.wires.died(node.clock);
     node.controller = null;
     node.host.state = "refusing";
     this.world.after(backAfterUs, () => this.start(at));
@@ -244,6 +257,11 @@
     return this.addresses.controllers[at] ?? "";
   }
 
+  /** Connections between controllers are refused, and those that are open break. */
+  refusePeers(forUs: number): void {
+    this.wires.refuse(forUs);
+  }
+
   private isNode(address: string): boolean {
     return this.addresses.controllers.includes(address);
   }
--- /dev/null
+++ b/src/model/wires.ts
@@ -0,0 +1,143 @@
+import type { Wire, Wires } from "../mesh/index.js";
+import type { Network } from "./network.js";
+import type { HostClock, World } from "./world.js";
+
+const nothing = (): void => undefined;
+const CONNECT_PATIENCE_US = 1_000_000;
+
+/** One side of a simulated connection. */
+class End implements Wire {
+  other: End | null = null;
+  open = true;
+  /** Not before this does the next part arrive: bytes keep their order. */
+  private nextAt = 0;
+  private waiting: Buffer[] = [];
+  onData: (data: Buffer) => void = nothing;
+  onDrain: () => void = nothing;
+  onEnd: () => void = nothing;
+
+  constructor(
+    private readonly hub: SimWires,
+    readonly from: string,
+    private readonly to: string,
+    readonly clock: HostClock,
+  ) {}
+
+  write(data: Buffer): boolean {
+    if (!this.open) return true;
+    if (this.other === null) this.waiting.push(data);
+    else this.send(data);
+    return true;
+  }
+
+  joined(other: End): void {
+    this.other = other;
+    for (const data of this.waiting.splice(0)) this.send(data);
+  }
+
+  private send(data: Buffer): void {
+    const { world } = this.hub;
+    const arrive = (): void => {
+      const cut = this.hub.network.cutFor(this.from, this.to);
+      if (cut?.mode === "reset") {
+        this.broken();
+        return;
+      }
+      if (cut !== undefined) {
+        this.nextAt = cut.until + 100;
+        world.at(this.nextAt, arrive);
+        return;
+      }
+      const { other } = this;
+      if (other?.open === true && !other.clock.dead) other.onData(data);
+    };
+    this.nextAt = Math.max(world.now + this.hub.network.travel(), this.nextAt + 1);
+    world.at(this.nextAt, arrive);
+  }
+
+  /** Both sides notice. */
+  broken(): void {
+    for (const end of [this, this.other]) {
+      if (end === null || !end.open) continue;
+      end.open = false;
+      if (!end.clock.dead) end.onEnd();
+    }
+  }
+
+  close(): void {
+    if (!this.open) return;
+    this.open = false;
+    const { other } = this;
+    if (other === null) return;
+    this.hub.world.after(this.hub.network.travel(), () => {
+      if (!other.open || this.hub.network.cutFor(this.from, this.to) !== undefined) return;
+      other.open = false;
+      if (!other.clock.dead) other.onEnd();
+    });
+  }
+}
+
+/** Connections between the controllers of a simulated site, cut, held and refused like all else there. */
+export class SimWires {
+  private readonly listeners = new Map<string, { readonly clock: HostClock; readonly onWire: (wire: Wire) => void }>();
+  private readonly ends = new Set<End>();
+  refusedUntil = 0;
+
+  constructor(
+    readonly world: World,
+    readonly network: Network,
+    /** By mesh address, the address by which cuts know a controller. */
+    private readonly hosts: ReadonlyMap<string, string>,
+  ) {}
+
+  of(meshAddress: string, clock: HostClock): Wires {
+    return {
+      connect: (address) => this.connect(meshAddress, address, clock),
+      listen: (onWire) => {
+        this.listeners.set(meshAddress, { clock, onWire });
+      },
+    };
+  }
+
+  /** A packet filter between the nodes, for a while: what is open breaks, and nothing new comes about. */
+  refuse(forUs: number): void {
+    this.refusedUntil = this.world.now + forUs;
+    for (const end of this.ends) end.broken();
+  }
+
+  /** The process is gone: the other sides are told, if anything of it gets through. */
+  died(clock: HostClock): void {
+    for (const end of this.ends) if (end.clock === clock) end.broken();
+  }
+
+  private connect(from: string, to: string, clock: HostClock): Wire {
+    const hostOf = (address: string): string => this.hosts.get(address) ?? address;
+    const near = new End(this, hostOf(from), hostOf(to), clock);
+    const fail = (): void => {
+      if (!near.open) return;
+      near.open = false;
+      if (!clock.dead) near.onEnd();
+    };
+    this.world.after(this.network.travel(), () => {
+      if (!near.open || clock.dead) return;
+      const listener = this.listeners.get(to);
+      if (listener === undefined || listener.clock.dead || this.world.now < this.refusedUntil) {
+        fail();
+        return;
+      }
+      const cut = this.network.cutFor(near.from, hostOf(to));
+      if (cut !== undefined) {
+        this.world.after(cut.mode === "hold" ? CONNECT_PATIENCE_US : 0, fail);
+        return;
+      }
+      const far = new End(this, hostOf(to), hostOf(from), listener.clock);
+      this.ends.add(near);
+      this.ends.add(far);
+      for (const end of this.ends) if (!end.open) this.ends.delete(end);
+      far.joined(near);
+      listener.onWire(far);
+      near.joined(far);
+    });
+    return near;
+  }
+}
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -18,6 +18,8 @@
   readonly record: RecordOptions | null;
   /** Graphs of dependent steps; null: none are taken. */
   readonly graphs: GraphOptions | null;
+  /** Connections between controllers, and calls through each other where a link is cut. */
+  readonly mesh: boolean;
 }
 
 /** The newest `files` files of at most `fileMb` MB each stay in the folder. */
@@ -35,6 +37,7 @@
   silentReports: 1.5,
   record: null,
   graphs: null,
+  mesh: false,
 };
 
 export const optionsSchema = {
@@ -64,6 +67,7 @@
       ],
     },
     graphs: graphOptionsSchema,
+    mesh: { type: "boolean" },
   },
 } as const;
 
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,7 +3,7 @@
 import { type Bounds, MEASURED, S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
-import { trouble } from "./sim/troubles.js";
+import { partialCuts, trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
 const SEEDS = Number(process.env.RAINRIDGE_SEEDS ?? 24);
@@ -21,7 +21,8 @@
 
 const day = async (seed: number): Promise<void> => {
   // Every third day on such controllers.
-  const cluster = new Cluster(seed, {}, undefined, seed % 3 === 0 ? SMALL : undefined);
+  const mesh = seed % 2 === 0;
+  const cluster = new Cluster(seed, { mesh }, undefined, seed % 3 === 0 ? SMALL : undefined);
   const random = new Random(seed + 1_000);
   const busy = 150 * S;
   for (let number = 0; number < 26; number += 1) {
@@ -36,6 +37,10 @@
   for (let number = random.int(3, 7); number > 0; number -= 1) {
     cluster.world.at(random.int(10 * S, busy), () => trouble(cluster, random));
   }
+  // With connections between controllers, cuts that leave some links up come on top of everything else.
+  for (let number = mesh ? random.int(1, 4) : 0; number > 0; number -= 1) {
+    cluster.world.at(random.int(10 * S, busy), () => partialCuts(cluster, random));
+  }
   await cluster.run(busy);
   await cluster.run(400 * S);
   assert.deepEqual(cluster.errors, [], `seed ${seed}: errors logged`);
--- /dev/null
+++ b/test/mesh.test.ts
@@ -0,0 +1,194 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "node:test";
+import {
+  BadFrame,
+  Detector,
+  encode,
+  type Frame,
+  FrameReader,
+  MAX_FRAME,
+  NEVER,
+  NetWires,
+  type PeerView,
+  routeFor,
+  standingOf,
+  type Ways,
+} from "../src/mesh/index.js";
+import { forSeeds, Random } from "./random.js";
+
+const BEAT: Frame = {
+  type: "beat",
+  beat: { sequence: 7, level: 1, stateAgeMs: 120, cloudAgeMs: NEVER, deaf: true },
+};
+
+const FRAMES: readonly Frame[] = [
+  { type: "hello", label: "ctl-0", incarnation: "abc" },
+  BEAT,
+  {
+    type: "ask",
+    id: 9,
+    address: "10.0.0.1:80",
+    timeoutMs: 2_000,
+    request: { method: "POST", target: "/txn", body: '{"ä":1}' },
+  },
+  { type: "ask", id: 10, address: "", timeoutMs: 1, request: { method: "POST", target: "/hello", body: "" } },
+  { type: "told", id: 9, outcome: { kind: "answer", status: 409, body: "{}", retryAfterS: null } },
+  { type: "told", id: 9, outcome: { kind: "answer", status: 503, body: "", retryAfterS: 3 } },
+  { type: "told", id: 10, outcome: { kind: "lost" } },
+  { type: "told", id: 11, outcome: { kind: "unsent" } },
+];
+
+test("frames of version 1 are written as they always were", () => {
+  // Golden: a controller of another version reads these bytes.
+  assert.equal(encode(FRAMES[0] as Frame).toString("hex"), "0000001201010000000563746c2d3000000003616263");
+  assert.equal(encode(BEAT).toString("hex"), "0000001001020000000701000000 78ffffffff01".replace(" ", ""));
+  assert.equal(encode(FRAMES[7] as Frame).toString("hex"), "0000000701040000000b00");
+});
+
+test("frames survive any cutting into parts, and unknown types and added fields are skipped", () => {
+  const unknown = Buffer.from("0000000501630a0b0c", "hex");
+  // A later version's beat, with something behind what is known here.
+  const longer = Buffer.concat([encode(BEAT), Buffer.from("beef", "hex")]);
+  longer.writeUInt32BE(longer.length - 4);
+  longer.writeUInt8(2, 4);
+  const all = Buffer.concat([...FRAMES.map(encode), unknown, longer, encode(FRAMES[0] as Frame)]);
+  forSeeds(50, (random) => {
+    const reader = new FrameReader();
+    const got: Frame[] = [];
+    for (let at = 0; at < all.length; ) {
+      const step = random.int(1, 40);
+      got.push(...reader.push(all.subarray(at, at + step)));
+      at += step;
+    }
+    assert.deepEqual(got, [...FRAMES, BEAT, FRAMES[0]]);
+  });
+});
+
+test("whatever comes instead of frames ends in one kind of error and nothing else", () => {
+  assert.throws(() => new FrameReader().push(Buffer.from("ffffffff0101", "hex")), BadFrame);
+  assert.throws(() => new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n\r\n")), BadFrame);
+  const head = Buffer.alloc(4);
+  head.writeUInt32BE(MAX_FRAME + 1);
+  assert.throws(() => new FrameReader().push(head), BadFrame);
+  let errors = 0;
+  forSeeds(400, (random) => {
+    const data = Buffer.concat(FRAMES.map(encode));
+    for (let flips = random.int(1, 6); flips > 0; flips -= 1) data[random.int(0, data.length - 1)] = random.int(0, 255);
+    try {
+      const reader = new FrameReader();
+      for (let at = 0; at < data.length; at += 13) reader.push(data.subarray(at, at + 13));
+    } catch (error) {
+      assert.ok(error instanceof BadFrame, String(error));
+      errors += 1;
+    }
+  });
+  assert.ok(errors > 50, `${errors} of 400`);
+});
+
+test("a silence is suspected sooner the more regular the beats were, and hardly ever wrongly", () => {
+  const random = new Random(3);
+  const PERIOD = 400_000;
+  const steady = new Detector(PERIOD);
+  const shaky = new Detector(PERIOD);
+  let now = 0;
+  let at = 0;
+  let wrong = 0;
+  for (let beat = 0; beat < 20_000; beat += 1) {
+    now += PERIOD + random.int(0, 20_000);
+    if (beat > 10 && steady.phi(now) > 3) wrong += 1;
+    steady.heard(now);
+    at += random.int(50_000, 900_000);
+    shaky.heard(at);
+  }
+  assert.equal(wrong, 0);
+  const noticed = (detector: Detector, last: number): number => {
+    let silence = 0;
+    while (detector.phi(last + silence) < 3) silence += 10_000;
+    return silence;
+  };
+  assert.ok(noticed(steady, now) < 3 * PERIOD, `${noticed(steady, now)} us`);
+  assert.ok(noticed(shaky, at) > noticed(steady, now));
+  assert.ok(noticed(shaky, at) < 10 * PERIOD);
+  assert.equal(new Detector(PERIOD).phi(0), Number.POSITIVE_INFINITY, "never heard");
+});
+
+const peer = (label: string, fields: Partial<PeerView> = {}, beat: object = {}): PeerView => ({
+  label,
+  usable: true,
+  phi: 0.1,
+  beat: { sequence: 1, level: 0, stateAgeMs: 100, cloudAgeMs: 100, deaf: false, ...beat },
+  ...fields,
+});
+const fine: Ways = { failing: { state: false, cloud: false }, deaf: false };
+const noState: Ways = { failing: { state: true, cloud: false }, deaf: false };
+
+test("a call goes through a sibling only where the own way fails and that sibling's does not", () => {
+  assert.equal(routeFor("state", fine, [peer("a")]), null);
+  assert.equal(routeFor("state", noState, [peer("a")]), "a");
+  assert.equal(routeFor("cloud", noState, [peer("a")]), null);
+  assert.equal(routeFor("state", noState, [peer("a", { usable: false }), peer("b")]), "b");
+  assert.equal(routeFor("state", noState, [peer("a", {}, { stateAgeMs: NEVER })]), null);
+  assert.equal(routeFor("state", noState, [peer("a", { beat: null })]), null);
+  // The one with less to do, then the one surer to be there; what is full is left alone.
+  assert.equal(routeFor("state", noState, [peer("a", {}, { level: 1 }), peer("b")]), "b");
+  assert.equal(routeFor("state", noState, [peer("a", { phi: 1 }), peer("b")]), "b");
+  assert.equal(routeFor("state", noState, [peer("a", {}, { level: 3 })]), null);
+  const deaf: Ways = { ...fine, deaf: true };
+  assert.equal(routeFor("worker", deaf, [peer("a", {}, { deaf: true }), peer("b")]), "b");
+  // A machine heard through a sibling is spoken to through it, whoever else is there.
+  assert.equal(routeFor("worker", fine, [peer("a"), peer("b")], "b"), "b");
+  assert.equal(routeFor("worker", fine, [peer("a"), peer("b", { usable: false })], "b"), null);
+});
+
+test("how a link stands is told apart by what siblings say", () => {
+  const standing = (ways: Ways, refused: boolean, peers: PeerView[]): string =>
+    standingOf("state", ways, true, refused, peers);
+  assert.equal(standing(fine, false, []), "reached");
+  assert.equal(standing(noState, false, [peer("a")]), "away for me only");
+  assert.equal(standing(noState, true, [peer("a")]), "refused to me");
+  assert.equal(standing(noState, true, [peer("a", {}, { stateAgeMs: NEVER })]), "away for everybody");
+  assert.equal(standingOf("cloud", fine, false, false, []), "not asked yet");
+});
+
+test("over real sockets a frame arrives whole, and an end is noticed on the other side", async () => {
+  const log = { error: (event: string) => assert.fail(event), info: () => undefined, debug: () => undefined };
+  // A port that is free just now; nothing else of the tests listens at this number.
+  const probe = createServer();
+  await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
+  const { port } = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  const address = `127.0.0.1:${port}`;
+  const there = new NetWires(address, log);
+  const got = new Promise<Frame[]>((resolve, reject) => {
+    there.listen((wire) => {
+      const reader = new FrameReader();
+      wire.onData = (data) => {
+        try {
+          const frames = reader.push(data);
+          if (frames.length === 0) return;
+          resolve(frames);
+          wire.close();
+        } catch (error) {
+          reject(error);
+        }
+      };
+    });
+  });
+  const body = "x".repeat(300_000);
+  const sent: Frame = {
+    type: "ask",
+    id: 1,
+    address: "",
+    timeoutMs: 5,
+    request: { method: "POST", target: "/txn", body },
+  };
+  const near = new NetWires("127.0.0.1:1", log).connect(address);
+  const ended = new Promise<void>((resolve) => {
+    near.onEnd = resolve;
+  });
+  near.write(encode(sent));
+  assert.deepEqual(await got, [sent]);
+  await ended;
+  there.close();
+});
--- a/test/sim/troubles.ts
+++ b/test/sim/troubles.ts
@@ -1,6 +1,34 @@
 import { type Random, S } from "../../src/model/index.js";
 import type { Cluster } from "./cluster.js";
 
+/** Cuts between machines that leave some links up, two or three of them over each other. */
+export const partialCuts = (cluster: Cluster, random: Random): void => {
+  for (let number = random.int(1, 3); number > 0; number -= 1) {
+    const node = random.int(0, 2);
+    const forUs = random.int(3, 40) * S;
+    const mode = random.pick(["hold", "reset"] as const);
+    switch (random.int(0, 4)) {
+      case 0:
+        cluster.site.cutFromState(node, forUs, mode);
+        break;
+      case 1:
+        cluster.state.refuse(cluster.site.nodeAddress(node), forUs);
+        break;
+      case 2:
+        cluster.site.cutFromWorkers(node, forUs, mode);
+        break;
+      case 3:
+        cluster.site.refusePeers(forUs);
+        break;
+      default:
+        // A link that flaps every two seconds.
+        for (let at = 0; at < forUs; at += 4 * S) {
+          cluster.world.after(at, () => cluster.site.cutFromState(node, 2 * S, mode));
+        }
+    }
+  }
+};
+
 /** Every kind of trouble the users listed, drawn at random, often several at once. */
 export const trouble = (cluster: Cluster, random: Random, kinds = 16): void => {
   const length = (): number => random.int(5, 40) * S;
