Mesh: connections that say nothing are given up, answers too long for a frame count as lost; tests of one controller's side

Cause: a connection that came about but was never greeted kept its place for good, and in a held cut a dial hung for as long as the system retries. An answer beyond a frame's bound made the receiver close the connection with all that was under way.

--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -2,7 +2,7 @@
 import { type Clock, type Micros, ms, seconds, type Timer } from "../transport/clock.js";
 import type { HttpClient, Outcome, Request, Response } from "../transport/http.js";
 import type { Log } from "../transport/log.js";
-import { BadFrame, type Beat, type Frame, FrameReader, NEVER } from "./frames.js";
+import { BadFrame, type Beat, type Frame, FrameReader, MAX_FRAME, NEVER } from "./frames.js";
 import { BEAT_PERIOD, Peer } from "./peer.js";
 import { type PeerView, routeFor, type Standing, standingOf, type Target, type Ways } from "./route.js";
 import type { Wire, Wires } from "./wire.js";
@@ -297,8 +297,9 @@
       return;
     }
     const { id, address, request, timeoutMs } = frame;
-    const answer = (outcome: Outcome): void => {
-      this.peers.get(from)?.send({ type: "told", id, outcome });
+    const answer = (given: Outcome): void => {
+      const tooLong = given.kind === "answer" && Buffer.byteLength(given.body) > MAX_FRAME / 2;
+      this.peers.get(from)?.send({ type: "told", id, outcome: tooLong ? { kind: "lost" } : given });
     };
     if (this.carrying >= (CARRIED[this.setup.level()] ?? 0)) {
       this.counts.shed += 1;
--- a/src/mesh/peer.ts
+++ b/src/mesh/peer.ts
@@ -9,6 +9,8 @@
 const REDIAL_MOST = seconds(5);
 /** So unlikely a silence is no silence: the connection is given up, with whatever is still under way in it. */
 const GIVE_UP_PHI = 40;
+/** A connection over which nothing has been said for so long from its beginning is no better than none. */
+const FIRST_BEAT = seconds(4);
 const MOST_QUEUED_BYTES = 8 * 1024 * 1024;
 
 /** In which order frames leave where the connection takes no more: beats first, answers before questions. */
@@ -113,6 +115,9 @@
     wire.onEnd = () => {
       if (this.wire === wire) this.end();
     };
+    this.around.clock.after(FIRST_BEAT, () => {
+      if (this.wire === wire && this.beat === null) this.end();
+    });
     // The side that has been dialled answers with its own name.
     if (!this.dials) wire.write(encode(this.hello));
   }
--- a/test/mesh.test.ts
+++ b/test/mesh.test.ts
@@ -8,13 +8,18 @@
   type Frame,
   FrameReader,
   MAX_FRAME,
+  meshWith,
   NEVER,
   NetWires,
   type PeerView,
   routeFor,
   standingOf,
   type Ways,
+  type Wire,
 } from "../src/mesh/index.js";
+import { HostClock, World } from "../src/model/index.js";
+import type { Micros } from "../src/transport/clock.js";
+import type { Outcome } from "../src/transport/http.js";
 import { forSeeds, Random } from "./random.js";
 
 const BEAT: Frame = {
@@ -192,3 +197,112 @@
   await ended;
   there.close();
 });
+
+/** A mesh of one sibling, over connections that the test plays the other side of. */
+const alone = (answers: boolean) => {
+  const world = new World();
+  const clock = new HostClock(world, 1, 0);
+  const dialled: { at: number; wire: Wire; sent: Frame[] }[] = [];
+  const called: string[] = [];
+  let outcome: Outcome = { kind: "unsent" };
+  const mesh = meshWith({
+    clock,
+    log: { error: () => undefined, info: () => undefined, debug: () => undefined },
+    random: () => 0.5,
+    incarnation: "i",
+    http: {
+      call: async (address) => {
+        called.push(address);
+        return outcome;
+      },
+    },
+    wires: {
+      listen: () => undefined,
+      connect: () => {
+        const reader = new FrameReader();
+        const sent: Frame[] = [];
+        const wire: Wire = {
+          write: (data) => {
+            sent.push(...reader.push(data));
+            return true;
+          },
+          close: () => undefined,
+          onData: () => undefined,
+          onDrain: () => undefined,
+          onEnd: () => undefined,
+        };
+        dialled.push({ at: world.now, wire, sent });
+        return wire;
+      },
+    },
+    settings: {
+      label: "a",
+      siblings: [{ label: "b", address: "b:1" }],
+      stateAddress: "state:1",
+      cloudAddress: "cloud:1",
+      workers: { report: 3_000_000 as Micros },
+    },
+  })({ level: () => 0, holding: () => null, report: async () => ({ status: 503, body: "" }) });
+  mesh.start();
+  const say = (frame: Frame): void => dialled.at(-1)?.wire.onData(encode(frame));
+  let sequence = 0;
+  const beat = (): void => {
+    sequence += 1;
+    say({ type: "beat", beat: { sequence, level: 0, stateAgeMs: 50, cloudAgeMs: 50, deaf: false } });
+    world.after(400_000, beat);
+  };
+  if (answers) {
+    say({ type: "hello", label: "b", incarnation: "j" });
+    beat();
+  }
+  const asks = (): Extract<Frame, { type: "ask" }>[] =>
+    (dialled.at(-1)?.sent ?? []).flatMap((frame) => (frame.type === "ask" ? [frame] : []));
+  const pass = (s: number): Promise<void> => world.run(world.now + s * 1_000_000, () => undefined);
+  return { mesh, dialled, called, say, asks, pass, set: (next: Outcome) => (outcome = next) };
+};
+
+const GET = { method: "GET", target: "/kv/x", body: "" };
+
+test("a connection over which nothing is said is given up and dialled again, later each time", async () => {
+  const { dialled, pass } = alone(false);
+  await pass(30);
+  assert.ok(dialled.length >= 4 && dialled.length <= 8, `${dialled.length} in 30 s`);
+});
+
+test("what fails by the own way goes through the sibling as it is, and comes back to the own way once that answers", async () => {
+  const { mesh, called, say, asks, pass, set } = alone(true);
+  await pass(2);
+  const call = (): Promise<Outcome> => mesh.client.call("state:1", GET, 2_000_000 as Micros);
+  assert.deepEqual(await call(), { kind: "unsent" });
+  const second = call();
+  await pass(0.1);
+  const [ask] = asks();
+  assert.deepEqual([ask?.address, ask?.request], ["state:1", GET]);
+  say({ type: "told", id: ask?.id ?? 0, outcome: { kind: "answer", status: 404, body: "{}", retryAfterS: null } });
+  assert.deepEqual(await second, { kind: "answer", status: 404, body: "{}", retryAfterS: null });
+  // Told twice, or under an id that nobody asked under: nothing comes of it.
+  say({ type: "told", id: ask?.id ?? 0, outcome: { kind: "lost" } });
+  say({ type: "told", id: 999, outcome: { kind: "lost" } });
+  // The sibling says nothing: it may have been executed.
+  const third = call();
+  await pass(3);
+  assert.deepEqual(await third, { kind: "lost" });
+  set({ kind: "answer", status: 200, body: "{}", retryAfterS: null });
+  await pass(2);
+  const before = asks().length;
+  const calls = called.length;
+  assert.equal((await call()).kind, "answer");
+  assert.equal(asks().length, before, "by the own way again");
+  assert.equal(called.length, calls + 1);
+});
+
+test("a call under way when the connection ends counts as lost, one that never left as not sent", async () => {
+  const { mesh, dialled, pass } = alone(true);
+  await pass(2);
+  const call = (): Promise<Outcome> => mesh.client.call("state:1", GET, 2_000_000 as Micros);
+  await call();
+  const under = call();
+  await pass(0.1);
+  dialled.at(-1)?.wire.onEnd();
+  assert.deepEqual(await under, { kind: "lost" });
+});
