Read again: siblings are looked at only where the own way fails, machines with work counted only where it matters

Every call took a new look at all siblings, with mean and spread of fifty beats each, before finding that its own way stands; every round walked all machines for a condition needed only when guarantees come to be short or no longer are.

--- a/src/coordination/decisions/round.ts
+++ b/src/coordination/decisions/round.ts
@@ -206,8 +206,7 @@
   const room = floor.machines.reduce((sum, { type }) => sum + (type?.capacity.cpu ?? 0), 0);
   const short = shares.claimed > room * (memory.guaranteesShort ? CLEARLY : 1);
   // A new holder has hardly heard of its machines yet: that their room is unknown does not make it short.
-  const known = floor.machines.length >= KNOWN_SHARE * countWithWork(picture);
-  if (known && short !== memory.guaranteesShort) {
+  if (short !== memory.guaranteesShort && floor.machines.length >= KNOWN_SHARE * countWithWork(picture)) {
     memory.guaranteesShort = short;
     yield { kind: "guarantees", short, claimed: shares.claimed, room };
   }
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -4,7 +4,7 @@
 import type { Log } from "../transport/log.js";
 import { BadFrame, type Beat, type Frame, FrameReader, MAX_FRAME, NEVER } from "./frames.js";
 import { BEAT_PERIOD, Peer } from "./peer.js";
-import { type PeerView, routeFor, type Standing, standingOf, type Target, type Ways } from "./route.js";
+import { ownWayStands, type PeerView, routeFor, type Standing, standingOf, type Target, type Ways } from "./route.js";
 import type { Wire, Wires } from "./wire.js";
 
 /** The least time that a call through a sibling is given, and what the way there and back may take of it. */
@@ -198,7 +198,8 @@
     const { clock, http } = this.setup;
     const target = this.targetOf(address);
     const through = target === "worker" ? this.throughOf(address) : null;
-    const label = routeFor(target, this.waysNow(), this.views(), through);
+    const ways = this.waysNow();
+    const label = ownWayStands(target, ways, through) ? null : routeFor(target, ways, this.views(), through);
     const peer = label === null ? undefined : this.peers.get(label);
     if (peer !== undefined) {
       const since = clock.now();
--- a/src/mesh/route.ts
+++ b/src/mesh/route.ts
@@ -30,6 +30,10 @@
   return !beat.deaf;
 };
 
+/** Nothing speaks for a sibling: by far the most calls, for which nobody needs to be looked at. */
+export const ownWayStands = (target: Target, ways: Ways, heardThrough: string | null): boolean =>
+  target === "worker" ? !ways.deaf && heardThrough === null : !ways.failing[target];
+
 /**
  * Which sibling is to carry a call, or null: by the own way. One hop only: a sibling calls by its own way or not at all.
  * Without a sibling that reaches the target, too, the own way is as good as any: the target is away for everybody.
