--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -16,13 +16,29 @@
   typeName: string;
   type: MachineType | null;
   address: string | null;
-  /** `booting`: not heard of yet. */
-  state: "booting" | "up" | "gone";
+  /** `booting`: not heard of yet. `rumoured`: only a report names it that may be a late copy. */
+  state: "booting" | "rumoured" | "up" | "gone";
   rentedAt: Micros;
   session: Whole | null;
   sequence: Whole;
   /** Highest token that the worker is known to have. */
   seenToken: Whole;
+  /** What is known of it was written since this holder began. */
+  timely: boolean;
+  /** Its counters have begun anew: only reports that show this token are from after that. */
+  anewToken: number;
+  /** When its counters were last learnt. */
+  learntAt: Micros;
+  /** Since when all its reports may have been from before this holder's time; null: one was not. */
+  unprovenSince: Micros | null;
+  /** When it last looked as if its counters had begun anew. */
+  doubtedAt: Micros;
+  /** Reports in a row that look older than what is known. */
+  doubts: number;
+  /** Questions and commands without an answer, and answers without an effect (decisions/reach.ts). */
+  readonly reach: { unanswered: number; asked: Whole | null; unseen: number };
+  /** It was said that the machine is heard and not reached. */
+  unreachedSince: Micros | null;
   /** Raised whenever a command may still be under way that must not land later. */
   fence: number;
   /** Messages of an earlier session are from before its lease surely ran out. */
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -3,12 +3,16 @@
 import { formatJson, parseJson } from "../protocol/json.js";
 import { type Command, commandRequest, readReport } from "../protocol/worker.js";
 import { type Micros, ms } from "../transport/clock.js";
+import type { Outcome } from "../transport/http.js";
 import { type BlockContext, firstToken, tokenOf } from "./context.js";
 import { decideDrain } from "./decisions/drain.js";
+import { gotNothing, heardBack } from "./decisions/reach.js";
 import type { Observer } from "./observer.js";
 
 const TIMEOUT = ms(1_500);
 const RETRY = ms(500);
+/** No answer within this is a message that got lost, not a connection that was refused. */
+const PROMPT = ms(200);
 /** Keeps a request well below the limit of a body. */
 const MAX_COMMANDS = 200;
 
@@ -81,12 +85,12 @@
   async send(machine: Machine, probe = false): Promise<void> {
     const { clock, lease, http, log } = this.context;
     const { address, session } = machine;
-    if (address === null || session === null || machine.commanding || machine.state !== "up") return;
-    if (machine.leaseOver || !lease.valid()) return;
+    if (address === null || session === null || machine.commanding || !lease.valid()) return;
+    if (!probe && (machine.state !== "up" || machine.leaseOver)) return;
     if (clock.now() < machine.commandAfter && !probe) return;
     // What was inherited is not started again before the worker has been heard under our token: until then the
     // attempt may have ended and be waiting for its place in the records.
-    const trusted = machine.seenToken >= firstToken(lease);
+    const trusted = machine.state === "up" && machine.seenToken >= firstToken(lease) && machine.anewToken === 0;
     const starts = trusted ? this.starts(machine) : [];
     const others = this.standing(machine);
     // What is only to be forgotten can wait for the next report's answer.
@@ -102,15 +106,17 @@
     const launchBefore = (task: Task): Launch => before.get(task) ?? { kind: "none" };
     machine.commanding = true;
     const body = formatJson(commandRequest(token, session, commands));
+    const askedAt = clock.now();
     const outcome = await http.call(address, { method: "POST", target: "/orders", body }, TIMEOUT);
     machine.commanding = false;
+    this.told(machine, outcome, askedAt);
     const still = starts.filter((task) => task.on === machine && task.launch.kind === "sending");
     if (outcome.kind === "answer" && (outcome.status === 200 || outcome.status === 409)) {
       for (const task of still) task.launch = outcome.status === 200 ? { kind: "seen" } : launchBefore(task);
       try {
         const report = readReport(parseJson(outcome.body));
         if (report.machine !== machine.name) throw new Error("another machine's report");
-        this.observer.observe(machine, report);
+        this.observer.observe(machine, report, { kind: "answer", askedAt });
       } catch (error) {
         log.error("malformed answer of a worker", { machine: machine.name, error: String(error) });
         this.lose(machine, token, still);
@@ -129,20 +135,34 @@
 
   /** Asks a worker that has not reported here for its state; its answer renews nothing. */
   async inquire(machine: Machine): Promise<void> {
-    const { http, lease, log } = this.context;
+    const { http, lease, log, clock } = this.context;
     const { address } = machine;
     if (address === null || !lease.valid()) return;
+    const askedAt = clock.now();
     const outcome = await http.call(address, { method: "GET", target: "/status", body: "" }, TIMEOUT);
+    this.told(machine, outcome, askedAt);
     if (outcome.kind !== "answer" || outcome.status !== 200) return;
     try {
       const report = readReport(parseJson(outcome.body));
       if (report.machine !== machine.name) return;
-      if (this.observer.observe(machine, report) === "untrusted") await this.send(machine, true);
+      this.observer.observe(machine, report, { kind: "answer", askedAt });
+      if (machine.seenToken < firstToken(lease)) await this.send(machine, true);
     } catch (error) {
       log.error("malformed answer of a worker", { machine: machine.name, error: String(error) });
     }
   }
 
+  /** Whether what is sent there gets there. What fails at once says nothing: it has not left, or nobody listens yet. */
+  private told(machine: Machine, outcome: Outcome, askedAt: Micros): void {
+    if (outcome.kind === "answer") {
+      heardBack(machine.reach);
+      return;
+    }
+    const { clock, overload } = this.context;
+    if (machine.state !== "up" || clock.now() - askedAt < PROMPT || overload.atLeast("lean")) return;
+    gotNothing(machine.reach);
+  }
+
   /**
    * A command got lost on the way and may land minutes later, under this token. From now on the machine is
    * spoken to under a higher one; a report that shows it proves the lost command dead.
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -57,6 +57,8 @@
   wakeCommands(machine: Machine): void;
   /** The machine ought to be up, but nothing has been heard of it here. */
   inquire(machine: Machine): void;
+  /** Shows the worker our token at once. */
+  introduce(machine: Machine): void;
   /** Not while the machine's zone is on record as not answered. */
   mayStart(machine: Machine): boolean;
   /** The job's last word is on record. */
@@ -65,14 +67,19 @@
   failed(task: Task, reason: ExitReason): void;
 }
 
-const FENCES = 65_536;
+/** Raised so often at most within one lease of a block. */
+export const FENCES = 65_536;
 
 /** Tokens stay exact as plain numbers; both parts are checked. */
 export const tokenOf = (lease: BlockLease, machine: Machine): number => {
-  if (machine.fence >= FENCES || lease.number >= 2 ** 36) throw new Error("token out of range");
+  if (machine.fence >= FENCES - 1 || lease.number >= 2 ** 36) throw new Error("token out of range");
   return lease.number * FENCES + machine.fence;
 };
 
+/** What answers to reports carry: where it is in doubt whether they get there, a token that nothing else shows. */
+export const answerTokenOf = (lease: BlockLease, machine: Machine): number =>
+  tokenOf(lease, machine) + (machine.reach.asked === null ? 0 : 1);
+
 export const firstToken = (lease: BlockLease): number => lease.number * FENCES;
 
 export const backOff = (failures: number, first: Micros, most: Micros): Micros =>
--- a/src/coordination/decisions/eligibility.ts
+++ b/src/coordination/decisions/eligibility.ts
@@ -4,6 +4,7 @@
 import type { Settings } from "../../settings/settings.js";
 import { fits } from "../placement/bfgp.js";
 import type { Picture } from "./picture.js";
+import { isReached } from "./reach.js";
 
 export const rankOf = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
 
@@ -40,6 +41,7 @@
   | "strays"
   | "avoided"
   | "silent"
+  | "not reached"
   | "not heard under our token";
 
 export const unready = (machine: Machine, picture: Picture): Unready | null => {
@@ -52,7 +54,8 @@
   if (machine.strays.size > 0) return "strays";
   if (machine.avoidUntil > now) return "avoided";
   if (now - machine.lastHeard > silentAfter) return "silent";
-  return machine.seenToken < firstToken ? "not heard under our token" : null;
+  if (!isReached(machine.reach)) return "not reached";
+  return machine.seenToken < firstToken || machine.anewToken !== 0 ? "not heard under our token" : null;
 };
 
 /** Machines that can take tasks now. */
--- /dev/null
+++ b/src/coordination/decisions/reach.ts
@@ -0,0 +1,45 @@
+import type { Whole } from "../../protocol/json.js";
+
+/** Whether what is sent to a worker gets there, told from effects alone; kept with the machine. */
+export interface Reach {
+  /** Commands and questions in a row that got no answer. */
+  unanswered: number;
+  /** A token that answers to reports alone carry, to see it come back; null: none is waited for. */
+  asked: Whole | null;
+  /** Reports in a row that did not show it, though the answer to the one before had it. */
+  unseen: number;
+}
+
+/** One may get lost on any network. */
+const TOO_MANY = 2;
+
+export const commandsReach = ({ unanswered }: Reach): boolean => unanswered < TOO_MANY;
+export const answersReach = ({ unseen }: Reach): boolean => unseen < TOO_MANY;
+/** Room is only where commands get to and where leases are renewed. */
+export const isReached = (reach: Reach): boolean => commandsReach(reach) && answersReach(reach);
+/** Nothing gets there: one report without an effect of the answer before is enough, where commands fail as well. */
+export const isDeaf = (reach: Reach): boolean => !commandsReach(reach) && reach.unseen > 0;
+
+/** A question or command has been answered. */
+export const heardBack = (reach: Reach): void => {
+  reach.unanswered = 0;
+};
+
+export const gotNothing = (reach: Reach): void => {
+  reach.unanswered += 1;
+};
+
+/**
+ * A report newer than all before. `skipped`: messages between it and the one before that never came here, mostly because
+ * the worker had no answer here and tried elsewhere. Returns whether the next answers are to carry a token of their own.
+ */
+export const reportCame = (reach: Reach, token: Whole, skipped: boolean): boolean => {
+  if (reach.asked === null) return skipped || reach.unanswered > 0;
+  if (token >= reach.asked) {
+    reach.asked = null;
+    reach.unseen = 0;
+    return reach.unanswered > 0;
+  }
+  reach.unseen += 1;
+  return true;
+};
--- a/src/coordination/decisions/rental.ts
+++ b/src/coordination/decisions/rental.ts
@@ -358,6 +358,10 @@
       if (age > boot) back.push({ machine, reason: "boot given up" });
       continue;
     }
+    if (machine.state === "rumoured") {
+      if (age > MIN_CHARGE) back.push({ machine, reason: "boot given up" });
+      continue;
+    }
     if (machine.drain !== null || machine.type === null) {
       back.push({ machine, reason: machine.type === null ? "unknown type" : "drained" });
       continue;
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -4,16 +4,31 @@
 import type { Whole } from "../protocol/json.js";
 import type { ExitReason, Report, TaskReport } from "../protocol/worker.js";
 import { type Micros, seconds } from "../transport/clock.js";
-import { type BlockContext, backOff, firstToken } from "./context.js";
+import { type BlockContext, backOff, FENCES, firstToken, tokenOf } from "./context.js";
+import { type Evidence, type Origin, weigh } from "./decisions/evidence.js";
+import { answersReach, commandsReach, heardBack, isReached, reportCame } from "./decisions/reach.js";
 import { acquit, RUNS_WELL, takeFailure } from "./decisions/trial.js";
 import type { Recorder } from "./recorder.js";
 
 const RETRY_FIRST = seconds(0.5);
 const RETRY_MOST = seconds(30);
+/** Reports in a row that look older than what is known, before the worker is asked. */
+const DOUBTS = 2;
+const REACHED = { unanswered: 0, asked: null, unseen: 0 };
 
 export type ObserverContext = Pick<
   BlockContext,
-  "block" | "clock" | "lease" | "log" | "wakeRound" | "wakeCommands" | "sink" | "failed"
+  | "block"
+  | "clock"
+  | "lease"
+  | "log"
+  | "wakeRound"
+  | "wakeCommands"
+  | "inquire"
+  | "introduce"
+  | "overload"
+  | "sink"
+  | "failed"
 >;
 
 const allSeen = (machine: Machine): boolean => {
@@ -24,33 +39,68 @@
 /** Takes in what workers say and concludes from it which tasks are where, or surely nowhere. */
 export class Observer {
   private failedStarts = 0;
+  private late = 0;
+  private unproven = 0;
 
   constructor(
     private readonly context: ObserverContext,
     private readonly recorder: Pick<Recorder, "note" | "finish">,
   ) {}
 
-  /** `old`: nothing learnt. `untrusted`: the worker does not know our token yet, so its list proves nothing. */
-  observe(machine: Machine, report: Report): "new" | "old" | "stale" | "untrusted" {
-    const { clock, lease } = this.context;
-    if (machine.staleSession !== null && report.session <= machine.staleSession) return "stale";
-    if (machine.session !== null) {
-      if (report.session < machine.session) return "stale";
-      if (report.session === machine.session && report.sequence <= machine.sequence) return "old";
+  /** Nothing is concluded beyond what the message is evidence of (decisions/evidence.ts). */
+  observe(machine: Machine, report: Report, origin: Origin): Evidence {
+    const { clock, lease, log } = this.context;
+    const needed = Math.max(firstToken(lease), machine.anewToken);
+    const evidence = weigh(machine, report, origin, needed);
+    switch (evidence) {
+      case "old":
+        return evidence;
+      case "doubtful":
+        this.late += 1;
+        machine.doubts += 1;
+        // One may have been overtaken on its way; a worker that has begun anew goes on like that.
+        if (machine.doubts >= DOUBTS) {
+          machine.doubts = 0;
+          machine.doubtedAt = clock.now();
+          this.context.inquire(machine);
+        }
+        return evidence;
+      case "unproven":
+        // Whom to ask and in which session; no sign of life.
+        this.unproven += 1;
+        machine.address ??= report.address;
+        if (machine.session === null || report.session >= machine.session) {
+          if (machine.anewToken === 0) this.counted(machine, report);
+          machine.address = report.address;
+        }
+        return evidence;
+      case "anew":
+        this.beginAnew(machine, report);
+        return evidence;
+      case "turned":
+        this.turn(machine, report);
+        break;
+      case "timely":
+      case "news":
     }
+    const skipped =
+      machine.timely && report.session === machine.session && Number(report.sequence) > Number(machine.sequence) + 1;
+    machine.timely = true;
+    machine.doubts = 0;
     // A session begins with a whole lease, and may have begun just now: counted from when the machine was rented
     // or found, the leases of workers that had not yet been answered here seemed over while they ran tasks.
     if (report.session !== machine.session) machine.leaseBase = clock.now();
     if (report.session !== machine.session || report.token !== machine.seenToken) machine.listing = null;
-    machine.session = report.session;
-    machine.sequence = report.sequence;
+    this.counted(machine, report);
+    if (origin.kind === "answer") heardBack(machine.reach);
+    else this.answered(machine, report, skipped);
     machine.address = report.address;
-    machine.seenToken = report.token;
     machine.lastHeard = clock.now();
+    this.sayReach(machine);
     if (machine.state !== "up") {
       machine.state = "up";
       machine.idleSince = clock.now();
-      this.context.log.info("machine up", { machine: machine.name, zone: machine.zone, spot: machine.spot });
+      log.info("machine up", { machine: machine.name, zone: machine.zone, spot: machine.spot });
       this.context.sink?.({ kind: "machine up", ...factsOf(machine) });
       this.context.wakeRound();
     }
@@ -61,14 +111,110 @@
       this.context.sink?.({ kind: "machine notice", span: seconds(report.noticeS), ...factsOf(machine) });
       this.context.wakeRound();
     }
-    if (report.token < firstToken(lease)) return "untrusted";
+    if (report.token < needed) return evidence;
+    machine.anewToken = 0;
     if (machine.lostToken !== null && report.token > machine.lostToken) machine.lostToken = null;
     if (!report.same) {
       this.reconcile(machine, report);
       // Only what the list did itself is known to follow from it: a start not seen yet may still be called lost by it.
       machine.listing = allSeen(machine) ? report.listing : null;
     }
-    return "new";
+    return evidence;
+  }
+
+  private counted(machine: Machine, report: Report): void {
+    const { clock, lease } = this.context;
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.seenToken = report.token;
+    machine.learntAt = clock.now();
+    // Whatever token it shows of ours, commands under a lower one are dropped there.
+    const fence = Number(report.token) - firstToken(lease);
+    if (fence > machine.fence && fence < FENCES) machine.fence = fence;
+  }
+
+  /** What the report tells of the answers before it. */
+  private answered(machine: Machine, report: Report, skipped: boolean): void {
+    const { lease, overload } = this.context;
+    const { reach } = machine;
+    // Answered late by ourselves, the worker has gone elsewhere.
+    if (overload.atLeast("lean")) return;
+    const ask = reportCame(reach, report.token, skipped);
+    if (ask) reach.asked = tokenOf(lease, machine) + 1;
+  }
+
+  /** Says once that a machine is heard and not reached, and once that it is again. */
+  private sayReach(machine: Machine): void {
+    const { clock, log } = this.context;
+    const reached = isReached(machine.reach);
+    if (reached === (machine.unreachedSince === null)) return;
+    machine.unreachedSince = reached ? null : clock.now();
+    if (reached) {
+      log.info("machine reached again", { machine: machine.name });
+      this.context.wakeRound();
+      return;
+    }
+    log.info("machine heard, not reached", {
+      machine: machine.name,
+      commands: commandsReach(machine.reach),
+      answers: answersReach(machine.reach),
+      tasks: machine.tasks.size,
+    });
+  }
+
+  /** The earlier session is over, and with it all that was started in it and all commands that name it. */
+  private turn(machine: Machine, report: Report): void {
+    const begun = [...machine.tasks].filter(({ launch }) => launch.kind !== "none");
+    this.context.log.info("session turned", { machine: machine.name, session: report.session, tasks: begun.length });
+    for (const task of begun) this.gone(task);
+    machine.lostToken = null;
+    machine.strays = new Map();
+    machine.exited = new Map();
+  }
+
+  /**
+   * Its counters have begun anew: nothing runs there, but commands of before may land once more, since the session's number
+   * may be the same and any token is accepted. So it is spoken to under a higher one first, and what was there counts
+   * until it shows that one.
+   */
+  private beginAnew(machine: Machine, report: Report): void {
+    const { clock, lease, log } = this.context;
+    log.info("machine began anew", { machine: machine.name, tasks: machine.tasks.size });
+    const token = tokenOf(lease, machine);
+    for (const task of machine.tasks) {
+      if (task.launch.kind === "none") continue;
+      task.launch = { kind: "unsure", token };
+      this.context.block.reported(task, null);
+      task.runningSince = null;
+    }
+    machine.lostToken = token;
+    machine.fence += 1;
+    machine.anewToken = tokenOf(lease, machine);
+    Object.assign(machine.reach, { unanswered: 0, asked: null, unseen: 0 });
+    machine.staleSession = null;
+    machine.leaseOver = false;
+    machine.leaseBase = clock.now();
+    machine.timely = false;
+    machine.doubts = 0;
+    machine.listing = null;
+    machine.strays = new Map();
+    machine.exited = new Map();
+    machine.images.clear();
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.seenToken = report.token;
+    machine.learntAt = clock.now();
+    machine.address = report.address;
+    machine.lastHeard = clock.now();
+    this.context.introduce(machine);
+  }
+
+  /** For the log: reports that came late or may have, since this was last asked. */
+  lateReports(): { readonly late: number; readonly unproven: number } {
+    const { late, unproven } = this;
+    this.late = 0;
+    this.unproven = 0;
+    return { late, unproven };
   }
 
   /** The machine, its tasks and every command sent to it are surely gone. */
@@ -127,7 +273,8 @@
         // Only a worker past the token under which the start was sent can no longer get it.
         if (token <= task.launch.token) return;
         task.launch = { kind: "none" };
-        if (task.job.cancelled || task.stop !== null) this.gone(task);
+        // Where commands do not arrive it would wait for as long as they don't.
+        if (task.job.cancelled || task.stop !== null || !isReached(task.on?.reach ?? REACHED)) this.gone(task);
         else if (task.on !== null) this.context.wakeCommands(task.on);
         return;
       case "seen":
--- a/src/coordination/rental.ts
+++ b/src/coordination/rental.ts
@@ -134,6 +134,7 @@
     machine.zone = listed.zone;
     machine.spot = listed.spot;
     machine.address ??= listed.address;
+    if (machine.state === "rumoured") machine.state = "booting";
     // After a handover this finds the machines at once, long before their workers have found us.
     if (listed.state === "running" && machine.state === "booting") this.context.inquire(machine);
     if (listed.state === "failed" && !machine.deleting) {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -10,7 +10,9 @@
 import { describeError } from "../transport/log.js";
 import type { Cloud } from "./cloud.js";
 import { Commander } from "./commander.js";
-import { type BlockContext, type BlockLease, firstToken, type Services, tokenOf } from "./context.js";
+import { answerTokenOf, type BlockContext, type BlockLease, firstToken, type Services } from "./context.js";
+import type { Evidence, Origin } from "./decisions/evidence.js";
+import { answersReach, isDeaf, isReached } from "./decisions/reach.js";
 import type { Extension, Holding } from "./extension.js";
 import { Lanes } from "./lanes.js";
 import { Observer } from "./observer.js";
@@ -20,6 +22,7 @@
 import { Silences } from "./silence-record.js";
 
 const TICK = ms(250);
+const REPORT: Origin = { kind: "report" };
 const ROUND_GAP = ms(10);
 /** Time to ask all machines for their state after a handover; before, silence says nothing. */
 const SETTLE = seconds(5);
@@ -28,6 +31,10 @@
 const OWN_FAULT = seconds(3);
 const SETTLE_MOST = seconds(12);
 const PROBE_TIME = seconds(1.7);
+/** Machines that are heard and not reached are asked so often whether they are again. */
+const PROBE_AGAIN = seconds(4);
+/** Of the machines, so many are given up within a worker's lease because nothing gets to them. */
+const GIVE_UP_SHARE = 0.1;
 /** A zone counts as cut off when so many reports of it are missing, and not before this time. */
 const CUT_REPORTS = 8;
 const CUT_LEAST = seconds(1.5);
@@ -90,6 +97,8 @@
   private roundGap: Micros = ROUND_GAP;
   private holding: Holding | null = null;
   private restored = false;
+  /** When machines were given up because nothing gets to them. */
+  private givenUp: Micros[] = [];
 
   constructor(
     private readonly services: Services,
@@ -120,6 +129,7 @@
       wakeRound: () => this.wakeRound(ROUND_GAP),
       wakeCommands: (machine) => this.wakeCommands(machine),
       inquire: (machine) => this.inquire(machine),
+      introduce: (machine) => this.introduce(machine),
       mayStart: (machine) => this.silences.open(machine.zone),
       ended: (job, end) => this.holding?.ended(job.spec, end),
       failed: (task, reason) => this.holding?.failed(task.job.spec, task.index, reason),
@@ -168,18 +178,34 @@
       this.silences.heard(machine.zone);
       return null;
     }
-    const learnt = this.observer.observe(machine, report);
-    if (learnt === "stale") return null;
+    const earlier = machine.session !== null && report.session < machine.session;
+    const learnt = this.observer.observe(machine, report, REPORT);
+    // One of the same session may have been overtaken, and somebody waits for its answer.
+    if (learnt === "doubtful" && (earlier || machine.leaseOver)) return null;
+    const trusted = machine.seenToken >= firstToken(this.lease) && learnt !== "unproven";
+    if (!trusted) this.introduce(machine);
+    else if (this.commander.urgent(machine)) this.wakeCommands(machine);
+    if (!this.mayAnswer(machine, learnt)) return null;
     machine.leaseBase = clock.now();
     machine.leaseOver = false;
-    if (learnt === "untrusted") this.introduce(machine);
-    else if (this.commander.urgent(machine)) this.wakeCommands(machine);
     return {
-      token: tokenOf(this.lease, machine),
-      commands: learnt === "untrusted" ? [] : this.commander.standing(machine),
+      token: answerTokenOf(this.lease, machine),
+      commands: trusted ? this.commander.standing(machine) : [],
     };
   }
 
+  /**
+   * A worker whose reports come while nothing gets there might take any answer of ours: so that its lease, and with it what it
+   * runs, is surely over some day, it gets none until a question has been answered.
+   */
+  private mayAnswer(machine: Machine, learnt: Evidence): boolean {
+    const { clock, settings } = this.services;
+    if (learnt !== "unproven") machine.unprovenSince = null;
+    else machine.unprovenSince ??= clock.now();
+    if (isDeaf(machine.reach)) return false;
+    return machine.unprovenSince === null || clock.now() - machine.unprovenSince < settings.workers.lease / 2;
+  }
+
   /** Machines that have been heard of here. */
   get upMachines(): number {
     let count = 0;
@@ -210,6 +236,8 @@
     let machine = block.machines.get(report.machine);
     if (machine === undefined) {
       machine = newMachine(report.machine, report.type, null, report.zone, report.spot, clock.now());
+      // It may be gone for long: no room until it is heard of otherwise.
+      machine.state = "rumoured";
       block.machines.set(report.machine, machine);
       log.info("machine reported", { machine: report.machine });
     }
@@ -338,7 +366,8 @@
       const machine = this.takeInquiry();
       if (machine === undefined) return;
       // Its own report came first.
-      if (machine.session !== null && machine.seenToken >= firstToken(this.lease)) continue;
+      if (machine.timely && machine.seenToken >= firstToken(this.lease) && machine.learntAt > machine.doubtedAt)
+        continue;
       this.inquiring += 1;
       void this.guard(this.commander.inquire(machine)).then(() => {
         this.inquiring -= 1;
@@ -418,6 +447,7 @@
             ...this.rounds.summary(),
             jobs: this.context.block.jobs.size,
             failing: this.observer.failing(),
+            reports: this.observer.lateReports(),
             records: { ...this.recorder.delays(), ...this.services.committer.summary() },
           });
         }
@@ -467,6 +497,15 @@
       return;
     }
     let probes = 0;
+    // Those that are heard and do not answer are asked again and again: by that they are taken back.
+    const unsure = up.filter(({ reach, lastHeard }) => reach.unanswered > 0 && now - lastHeard <= limit);
+    for (const machine of unsure) {
+      if (probes >= MAX_PROBES) break;
+      if (now - machine.probed < (isReached(machine.reach) ? PROBE_TIME : PROBE_AGAIN)) continue;
+      probes += 1;
+      machine.probed = now;
+      void this.guard(this.commander.send(machine, true));
+    }
     for (const machine of silent) {
       if (probes >= MAX_PROBES) break;
       if (machine.probed < machine.lastHeard) {
@@ -477,6 +516,7 @@
       }
     }
     const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
+    this.unreached(up);
     const zones = this.cutZones(up, limit);
     this.rental.cutZones = zones;
     this.silences.cut(zones);
@@ -496,6 +536,37 @@
     void this.guard(this.rental.remove(lost));
   }
 
+  /**
+   * Machines that are heard and that nothing gets to, or whose leases nothing renews: deleting them is the fast proof that
+   * their tasks are gone. Where many go at once it is a cut and no fault of theirs: the rest keeps what it runs until the
+   * worker's lease is over, and whoever else holds the block may reach them.
+   */
+  private unreached(up: readonly Machine[]): void {
+    const { clock, settings, log } = this.services;
+    const now = clock.now();
+    // Other ways to them may open meanwhile, and reports that come by those show the answers' effect.
+    const stands = settings.workers.report * LONGEST_REPORT + REPORT_PATIENCE + NEXT_NODE;
+    const lost = up.filter(({ reach, unreachedSince }) => {
+      return unreachedSince !== null && now - unreachedSince > stands && (isDeaf(reach) || !answersReach(reach));
+    });
+    if (lost.length === 0) return;
+    if (lost.length > Math.max(2, up.length * 0.6)) {
+      log.info("machines heard, none reached: handing over", { machines: lost.length });
+      void this.guard(this.onDeaf());
+      return;
+    }
+    this.givenUp = this.givenUp.filter((at) => now - at < settings.workers.lease);
+    const most = Math.max(2, Math.ceil(up.length * GIVE_UP_SHARE)) - this.givenUp.length;
+    const chosen = lost.sort((a, b) => b.tasks.size - a.tasks.size).slice(0, Math.max(0, most));
+    if (chosen.length === 0) return;
+    for (const machine of chosen) {
+      this.givenUp.push(now);
+      this.context.sink?.({ kind: "machine silent", span: settings.workers.lease, ...factsOf(machine) });
+    }
+    log.info("machines given up, not reached", { machines: chosen.map(({ name }) => name) });
+    void this.guard(this.rental.remove(chosen));
+  }
+
   /**
    * Workers that cannot reach this controller come to it through others, once their next report is due, has failed here
    * and has been tried there. Until then silence says nothing: three machines were given up that a sibling reached.
--- a/src/model/cloud-service.ts
+++ b/src/model/cloud-service.ts
@@ -11,6 +11,8 @@
   notice(inUs: number): void;
   hang(forUs: number): void;
   sicken(): void;
+  /** Back within a fraction of a second, with nothing on it; `kept`: its counters go on, else they begin anew. */
+  restart(kept: boolean): void;
   end(): void;
 }
 
--- a/src/model/executor.ts
+++ b/src/model/executor.ts
@@ -83,6 +83,13 @@
     this.killAll();
   }
 
+  /** Nothing is left of what the machine held: neither tasks nor images. */
+  restart(): void {
+    this.killAll();
+    this.images.clear();
+    this.hungUntil = 0;
+  }
+
   killAll(): void {
     for (const task of this.tasks.values()) this.leave(task);
     this.tasks = new Map();
--- a/src/model/fast-machine.ts
+++ b/src/model/fast-machine.ts
@@ -83,6 +83,12 @@
     this.executor.sick = true;
   }
 
+  /** Its counters say nothing here. */
+  restart(): void {
+    this.executor.restart();
+    this.changed();
+  }
+
   end(): void {
     this.gone = true;
     this.executor.end();
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -11,6 +11,7 @@
 import { decideRental, History, type Market, type Option, Refusals } from "../coordination/decisions/rental.js";
 import { applyAction, decideRound, newMemory, type RoundAction } from "../coordination/decisions/round.js";
 import { Observer } from "../coordination/observer.js";
+import { Overload } from "../coordination/overload.js";
 import { SEARCHES } from "../coordination/rounds.js";
 import { type MachineType, readTypes } from "../protocol/cloud.js";
 import { Malformed } from "../protocol/json.js";
@@ -141,6 +142,9 @@
         log,
         wakeRound: () => this.wakeRound(ROUND_GAP),
         wakeCommands: (machine) => this.command(machine),
+        inquire: nothing,
+        introduce: nothing,
+        overload: new Overload(this.clock, log, null),
         sink: null,
         failed: () => undefined,
       },
@@ -289,7 +293,7 @@
       this.block.machines.set(name, machine);
     }
     const before = machine.noticeUntil;
-    this.observer.observe(machine, body.report());
+    this.observer.observe(machine, body.report(), { kind: "report" });
     for (const task of [...body.executor.list()]) {
       if (task.phase === "exited") body.executor.forget(task.shard, task.try);
     }
--- a/src/model/network.ts
+++ b/src/model/network.ts
@@ -2,7 +2,7 @@
 import type { HttpClient, Outcome, Request, Response } from "../transport/http.js";
 import type { Door } from "./door.js";
 import type { Random } from "./random.js";
-import type { HostClock, World } from "./world.js";
+import { type HostClock, S, type World } from "./world.js";
 
 export const json = (status: number, body: unknown): Response => ({ status, body: JSON.stringify(body) });
 
@@ -33,10 +33,33 @@
   readonly mode: "hold" | "reset";
 }
 
+/** What a one-way loss swallows: what is sent on its own account, or what is answered to that. */
+export type Swallowed = "requests" | "answers";
+
+interface Loss {
+  readonly from: (address: string) => boolean;
+  readonly to: (address: string) => boolean;
+  readonly until: number;
+  readonly swallows: readonly Swallowed[];
+}
+
+/** Copies of requests that come late, beside the requests themselves. */
+export interface Copies {
+  /** Which requests, and by how much late at most. */
+  readonly of: (to: string, request: Request) => boolean;
+  readonly chance: number;
+  readonly mostLateUs: number;
+  readonly until: number;
+  /** Where a copy arrives; the same host by default. */
+  readonly at?: (to: string) => string;
+}
+
 /** Delays, loses nothing by itself; cuts hold messages back or reset connections. */
 export class Network implements Net {
   private readonly hosts = new Map<string, Host>();
   private cuts: Cut[] = [];
+  private losses: Loss[] = [];
+  copies: Copies | null = null;
   private given = 0;
   /** Lets a test change what is said, to see that the checker notices. */
   tamper: ((from: string, to: string, request: Request, response: Response) => Response) | null = null;
@@ -68,6 +91,31 @@
     this.cuts.push({ between, until: this.world.now + forUs, mode });
   }
 
+  /** Messages one way only are swallowed, silently; the other way all goes on. */
+  lose(loss: Omit<Loss, "until">, forUs: number): void {
+    this.losses.push({ ...loss, until: this.world.now + forUs });
+  }
+
+  private swallowed(from: string, to: string, what: Swallowed): boolean {
+    if (this.losses.length === 0) return false;
+    this.losses = this.losses.filter(({ until }) => until > this.world.now);
+    return this.losses.some((loss) => loss.swallows.includes(what) && loss.from(from) && loss.to(to));
+  }
+
+  /** What is delivered once more, seconds or minutes later; nobody waits for its answer. */
+  private copy(from: string, to: string, request: Request): void {
+    const { copies } = this;
+    if (copies === null || this.world.now > copies.until || !copies.of(to, request)) return;
+    if (!this.random.chance(copies.chance)) return;
+    const at = copies.at?.(to) ?? to;
+    this.world.after(this.random.int(S / 1_000, copies.mostLateUs), () => {
+      const target = this.hosts.get(at);
+      if (target === undefined || target.state !== "up" || this.cutBetween(from, at) !== undefined) return;
+      this.onRequest?.(from, at, request);
+      void target.serve(request, from);
+    });
+  }
+
   private cutBetween(a: string, b: string): Cut | undefined {
     if (this.cuts.length === 0) return undefined;
     this.cuts = this.cuts.filter((cut) => cut.until > this.world.now);
@@ -130,13 +178,14 @@
           return;
         }
         const target = this.hosts.get(to);
-        if (target === undefined || target.state === "silent") return;
+        if (target === undefined || target.state === "silent" || this.swallowed(from, to, "requests")) return;
         if (target.state === "refusing") {
           settle({ kind: open ? "lost" : "unsent" });
           return;
         }
         arrived = true;
         this.onRequest?.(from, to, request);
+        this.copy(from, to, request);
         const serve = (done: (close: boolean) => void): void => {
           void target.serve(request, from).then((response) => {
             // Redirected workers close by themselves.
@@ -170,6 +219,7 @@
         else settle({ kind: "lost" });
         return;
       }
+      if (this.swallowed(to, from, "answers")) return;
       settle({
         kind: "answer",
         status: response.status,
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -8,7 +8,7 @@
 import { jobBehaviour } from "./behaviour.js";
 import { CloudService, type Room, roomOf } from "./cloud-service.js";
 import { type Bounds, Door, type Usage } from "./door.js";
-import { type Host, Network } from "./network.js";
+import { type Host, Network, type Swallowed } from "./network.js";
 import { Luck, Random } from "./random.js";
 import { type Addresses, CLOCK_ERROR_MS, labelOf, type SiteSpec, settingsOf } from "./site-spec.js";
 import { StateService } from "./state-service.js";
@@ -279,6 +279,30 @@
     this.network.cut((a, b) => a === address && !others.includes(b), forUs, mode);
   }
 
+  /** A controller with its workers and nothing else: neither state service nor siblings (nor, where `cloud`, the cloud). */
+  cutAllButWorkers(at: number, forUs: number, mode: "hold" | "reset", cloud = false): void {
+    const address = this.nodeAddress(at);
+    const others = [this.addresses.state, ...(cloud ? [this.addresses.cloud] : []), ...this.addresses.controllers];
+    this.network.cut((a, b) => a === address && b !== address && others.includes(b), forUs, mode);
+  }
+
+  /** One way only: what machines report arrives, while commands, answers to reports or both never reach them. */
+  deafen(addresses: ReadonlySet<string>, forUs: number, swallows: readonly Swallowed[]): void {
+    const from = (address: string): boolean => this.isNode(address);
+    this.network.lose({ from, to: (address) => addresses.has(address), swallows }, forUs);
+  }
+
+  /** Reports come once more, at any controller, up to so long after they were sent. */
+  copyReports(chance: number, mostLateUs: number, forUs: number): void {
+    this.network.copies = {
+      of: (_, { target }) => target === "/hello",
+      chance,
+      mostLateUs,
+      until: this.world.now + forUs,
+      at: () => this.random.pick(this.addresses.controllers),
+    };
+  }
+
   /** Cuts one machine off from every controller. */
   cutMachine(address: string, forUs: number, mode: "hold" | "reset"): void {
     this.network.cut((a, b) => a === address && this.isNode(b), forUs, mode);
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -42,6 +42,8 @@
   private changeArmed = false;
   private noticeAt: number | null = null;
   private gone = false;
+  /** Answers to calls from before a restart find nobody. */
+  private calls = 0;
   readonly host: Host;
   private readonly clock: HostClock;
   private readonly executor: Executor;
@@ -84,6 +86,24 @@
     this.executor.end();
   }
 
+  /**
+   * Back within a fraction of a second, without its tasks and images. `kept`: sessions, ticks and tokens go on where they
+   * were, in the next session; else they begin anew.
+   */
+  restart(kept: boolean): void {
+    if (this.gone) return;
+    this.executor.restart();
+    this.session = kept ? this.session + 1 : 1;
+    if (!kept) {
+      this.tick = 0;
+      this.token = 0;
+    }
+    this.leaseBase = this.around.timeline.now;
+    this.inFlight = false;
+    this.calls += 1;
+    this.changed();
+  }
+
   private awake(run: () => void): void {
     this.executor.awake(run);
   }
@@ -154,11 +174,13 @@
     const session = this.session;
     const request: Request = { method: "POST", target: "/hello", body: JSON.stringify(this.body()) };
     const node = nodes[this.node] ?? "";
+    const { calls } = this;
     void net
       .client(this.host.address, this.clock)
       .call(node, request, REPORT_PATIENCE)
       .then((outcome) =>
         this.awake(() => {
+          if (calls !== this.calls) return;
           this.inFlight = false;
           const late = timeline.now - sent > REPORT_PATIENCE;
           if (late || outcome.kind !== "answer" || (outcome.status !== 200 && outcome.status !== 421)) {
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,7 +3,7 @@
 import { type Bounds, MEASURED, S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
-import { partialCuts, trouble } from "./sim/troubles.js";
+import { badNight, partialCuts, trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
 const SEEDS = Number(process.env.RAINRIDGE_SEEDS ?? 24);
@@ -19,6 +19,9 @@
   costs: MEASURED,
 };
 
+/** No trouble lasts for longer than this. */
+const LONGEST_TROUBLE = 65 * S;
+
 const day = async (seed: number): Promise<void> => {
   // Every third day on such controllers.
   const mesh = seed % 2 === 0;
@@ -41,8 +44,15 @@
   for (let number = mesh ? random.int(1, 4) : 0; number > 0; number -= 1) {
     cluster.world.at(random.int(10 * S, busy), () => partialCuts(cluster, random));
   }
+  // One-way loss, late copies, lone holders and instant returns over all of that, each from a sequence of its own.
+  const nights = new Random(seed + 2_000);
+  for (let number = nights.int(0, 4); number > 0; number -= 1) {
+    cluster.world.at(nights.int(10 * S, busy), () => badNight(cluster, nights));
+  }
   await cluster.run(busy);
-  await cluster.run(400 * S);
+  await cluster.run(LONGEST_TROUBLE);
+  cluster.checker.calmFrom = cluster.world.now;
+  await cluster.run(400 * S - LONGEST_TROUBLE);
   assert.deepEqual(cluster.errors, [], `seed ${seed}: errors logged`);
   const open = cluster.unfinished();
   assert.deepEqual(open, [], `seed ${seed}: never finished\n${cluster.story(open[0] ?? "-")}`);
@@ -50,6 +60,7 @@
   const whose = missing[0]?.split("/")[0] ?? "-";
   assert.deepEqual(missing, [], `seed ${seed}: replicas missing at the end\n${cluster.story(whose)}`);
   assert.deepEqual(cluster.checker.starved(), [], `seed ${seed}: less than half served`);
+  assert.deepEqual(cluster.checker.lateLargest(), [], `seed ${seed}: largest jobs begun too late`);
   assert.ok(cluster.checker.starts > 20, `seed ${seed}: hardly anything ran`);
 };
 
--- /dev/null
+++ b/test/evidence.test.ts
@@ -0,0 +1,404 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Machine, Task } from "../src/bookkeeping/picture.js";
+import { Commander } from "../src/coordination/commander.js";
+import { type BlockContext, firstToken, tokenOf } from "../src/coordination/context.js";
+import { unready } from "../src/coordination/decisions/eligibility.js";
+import { type Known, type Said, weigh } from "../src/coordination/decisions/evidence.js";
+import type { Picture } from "../src/coordination/decisions/picture.js";
+import { Observer } from "../src/coordination/observer.js";
+import { json } from "../src/model/index.js";
+import type { Report } from "../src/protocol/worker.js";
+import type { Micros } from "../src/transport/clock.js";
+import type { Outcome } from "../src/transport/http.js";
+import { makeBlock, placedTask } from "./block-fixtures.js";
+
+const REPORT = { kind: "report" } as const;
+const TOKEN = 65_536;
+
+const report = (fields: Partial<Report> = {}): Report => ({
+  machine: "n-0",
+  address: "10.1.0.1:9000",
+  type: "big",
+  zone: "east",
+  spot: false,
+  session: 1,
+  sequence: 1,
+  token: TOKEN,
+  noticeS: null,
+  tasks: [],
+  listing: null,
+  same: false,
+  ...fields,
+});
+
+const scene = () => {
+  const { block, context, recorder, world } = makeBlock(1);
+  const machine = [...block.machines.values()][0] as Machine;
+  const asked: Machine[] = [];
+  const shown: Machine[] = [];
+  Object.assign(context, { inquire: (m: Machine) => asked.push(m), introduce: (m: Machine) => shown.push(m) });
+  return { block, context, machine, asked, shown, world, observer: new Observer(context, recorder) };
+};
+
+/** As a new holder knows a machine: by name only. */
+const unknown = (machine: Machine): void => {
+  Object.assign(machine, { state: "booting", session: null, seenToken: 0, timely: false });
+};
+
+test("what may be a late copy is no sign of life, no room and no notice to a new holder", () => {
+  const { machine, observer, world, context } = scene();
+  unknown(machine);
+  const before = machine.lastHeard;
+  world.now += 20_000_000;
+  // From before the takeover: it was `up`, it was heard, and its notice drained a machine that had none any more.
+  assert.equal(observer.observe(machine, report({ token: 7, noticeS: 10 }), REPORT), "unproven");
+  assert.equal(machine.state, "booting");
+  assert.equal(machine.lastHeard, before);
+  assert.equal(machine.noticeUntil, null);
+  const picture = { now: context.clock.now(), silentAfter: 1e9, firstToken: TOKEN } as unknown as Picture;
+  assert.notEqual(unready(machine, picture), null);
+});
+
+test("a late copy that finds newer evidence changes nothing", () => {
+  const { machine, observer } = scene();
+  observer.observe(machine, report({ session: 2, sequence: 40 }), REPORT);
+  const before = { ...machine };
+  for (const old of [
+    { session: 2, sequence: 39, noticeS: 5 },
+    { session: 1, sequence: 90 },
+    { session: 2, sequence: 40 },
+  ]) {
+    const evidence = observer.observe(machine, report(old), REPORT);
+    assert.ok(evidence === "old" || evidence === "doubtful", evidence);
+  }
+  assert.deepEqual({ ...machine, doubts: 0, doubtedAt: 0 }, { ...before, doubts: 0, doubtedAt: 0 });
+});
+
+test("a job is not bound for ever to a machine whose session turned while a start for it was lost", () => {
+  const { block, machine, observer } = scene();
+  observer.observe(machine, report({ sequence: 1 }), REPORT);
+  const task = placedTask(block, machine);
+  task.launch = { kind: "unsure", token: TOKEN };
+  // No answer gets there, so its token never rises; it was waited for for ever.
+  for (let sequence = 2; sequence < 5; sequence += 1) observer.observe(machine, report({ sequence }), REPORT);
+  assert.equal(task.on, machine);
+  observer.observe(machine, report({ session: 2, sequence: 5 }), REPORT);
+  assert.equal(task.on, null);
+});
+
+test("a start that commands cannot bring is given to another machine once it cannot arrive any more", () => {
+  const { block, machine, observer } = scene();
+  observer.observe(machine, report({ sequence: 1 }), REPORT);
+  const task = placedTask(block, machine);
+  task.launch = { kind: "unsure", token: TOKEN };
+  machine.reach.unanswered = 2;
+  // Answers to reports get there: the token rises. It was tried again on the same machine, for as long as that lasted.
+  observer.observe(machine, report({ sequence: 2, token: TOKEN + 1 }), REPORT);
+  assert.equal(task.on, null);
+});
+
+test("a worker whose counters begin anew is asked, fenced, and only then believed", () => {
+  const { block, context, machine, asked, shown, observer, world } = scene();
+  observer.observe(machine, report({ session: 3, sequence: 80 }), REPORT);
+  const task = placedTask(block, machine);
+  task.launch = { kind: "seen" };
+  // Two reports that look old; they were dropped for ever.
+  for (const sequence of [1, 2]) observer.observe(machine, report({ session: 1, sequence, token: 0 }), REPORT);
+  assert.deepEqual(asked, [machine]);
+  world.now += 10;
+  const answer = { kind: "answer", askedAt: context.clock.now() } as const;
+  assert.equal(observer.observe(machine, report({ session: 1, sequence: 3, token: 0 }), answer), "anew");
+  assert.deepEqual(shown, [machine]);
+  // A start of before may land once more: the session's number is the same, and any token will do.
+  assert.equal(task.on, machine);
+  observer.observe(machine, report({ session: 1, sequence: 4, token: TOKEN }), REPORT);
+  assert.equal(task.on, machine);
+  observer.observe(machine, report({ session: 1, sequence: 5, token: tokenOf(context.lease, machine) }), REPORT);
+  assert.equal(task.launch.kind, "none");
+});
+
+test("an answer overtaken by a newer report is not taken for counters that began anew", () => {
+  const { machine, observer, world, context } = scene();
+  const askedAt = context.clock.now();
+  world.now += 1_000;
+  observer.observe(machine, report({ sequence: 9 }), REPORT);
+  assert.equal(observer.observe(machine, report({ sequence: 8 }), { kind: "answer", askedAt }), "old");
+  assert.equal(machine.sequence, 9);
+});
+
+test("no message is believed more when it is older, shows less of our tokens, or is not an answer", () => {
+  const rank = { old: 0, doubtful: 0, unproven: 0, anew: 1, timely: 2, turned: 2, news: 3 } as const;
+  const values = [1, 2, 3];
+  let weighed = 0;
+  for (const session of [null, ...values])
+    for (const seenToken of [0, 5, 10])
+      for (const timely of [false, true])
+        for (const staleSession of [null, 1])
+          for (const said of values.flatMap((s) =>
+            values.flatMap((q) => [0, 5, 10, 15].map((t): Said => ({ session: s, sequence: q, token: t }))),
+          )) {
+            const known: Known = { session, sequence: 2, seenToken, staleSession, learntAt: 100 as Micros, timely };
+            const asReport = weigh(known, said, REPORT, 10);
+            const asAnswer = weigh(known, said, { kind: "answer", askedAt: 100 as Micros }, 10);
+            const asOldAnswer = weigh(known, said, { kind: "answer", askedAt: 99 as Micros }, 10);
+            weighed += 1;
+            assert.ok(rank[asAnswer] >= rank[asReport], JSON.stringify({ known, said }));
+            assert.ok(rank[asAnswer] >= rank[asOldAnswer]);
+            assert.notEqual(asReport, "anew");
+            assert.notEqual(asOldAnswer, "anew");
+            if (asReport === "news") assert.ok(said.token >= 10 && (session === null || said.session >= session));
+            if (asReport === "turned") assert.ok(timely && session !== null && said.session > session);
+          }
+  assert.ok(weighed > 1_500);
+});
+
+// All orders of what may happen to one worker, one task and its holders -----------------------------------------
+
+const ACTIONS = [
+  "report",
+  "report, no answer",
+  "oldest copy",
+  "latest copy",
+  "ask",
+  "command",
+  "command, no answer",
+  "command late",
+  "late command lands",
+  "command repeated",
+  "session turns",
+  "back anew",
+  "takeover",
+] as const;
+type Action = (typeof ACTIONS)[number];
+
+interface Order {
+  readonly token: number;
+  readonly session: number;
+  readonly starts: readonly string[];
+}
+
+/** A worker as the protocol has it, as far as sessions, ticks, tokens and starts go. */
+class TinyWorker {
+  session = 1;
+  tick = 0;
+  token = 0;
+  running = new Set<string>();
+
+  report(): Report {
+    this.tick += 1;
+    const tasks = [...this.running].map((task) => ({ task, attempt: 1, state: "running", reason: null }) as const);
+    return report({ session: this.session, sequence: this.tick, token: this.token, tasks });
+  }
+
+  execute(order: Order): boolean {
+    if (order.token < this.token || order.session !== this.session) return false;
+    this.token = order.token;
+    for (const task of order.starts) this.running.add(task);
+    return true;
+  }
+}
+
+const wire = (said: Report): string =>
+  JSON.stringify({
+    host: said.machine,
+    addr: said.address,
+    flavor: said.type,
+    area: said.zone,
+    tenure: said.session,
+    tick: said.sequence,
+    baton: said.token,
+    shards: said.tasks.map(({ task, attempt }) => ({ shard: task, try: attempt, phase: "running" })),
+  });
+
+/** Plays one order of events with the production code for evidence, observation and commands. */
+class Play {
+  readonly worker = new TinyWorker();
+  private readonly past: Report[] = [];
+  private readonly late: Order[] = [];
+  private carriedOut: Order | null = null;
+  private number = 0;
+  private fate: "ok" | "no answer" | "late" = "ok";
+  private now = 0;
+  private context!: BlockContext;
+  private machine!: Machine;
+  private task!: Task;
+  private observer!: Observer;
+  private commander!: Commander;
+  private freed = false;
+
+  constructor(private readonly believe: (observer: Observer, machine: Machine) => Observer = (observer) => observer) {
+    this.hold(null);
+  }
+
+  private hold(launch: Task["launch"] | null): void {
+    this.number += 1;
+    const { block, context, recorder, world } = makeBlock(1);
+    world.now = this.now;
+    const lease = { ...context.lease, number: this.number };
+    Object.assign(context, {
+      lease,
+      clock: { ...context.clock, now: () => this.now as Micros, after: () => ({ cancel: () => undefined }) },
+      http: { call: async (_: string, { target, body }: { target: string; body: string }) => this.call(target, body) },
+      introduce: () => undefined,
+    });
+    this.context = context;
+    this.machine = [...block.machines.values()][0] as Machine;
+    unknown(this.machine);
+    this.task = placedTask(block, this.machine);
+    this.task.launch = launch ?? { kind: "none" };
+    this.observer = this.believe(new Observer(context, recorder), this.machine);
+    this.commander = new Commander(context, this.observer);
+  }
+
+  private call(target: string, body: string): Outcome {
+    if (target === "/status") return this.answer(200);
+    const { baton, tenure, orders } = JSON.parse(body) as {
+      baton: number;
+      tenure: number;
+      orders: { verb: string; shard: string }[];
+    };
+    const starts = orders.filter(({ verb }) => verb === "launch").map(({ shard }) => shard);
+    const order = { token: baton, session: tenure, starts };
+    if (this.fate === "late") {
+      this.late.push(order);
+      return { kind: "lost" };
+    }
+    const done = this.worker.execute(order);
+    if (done && starts.length > 0) this.carriedOut = order;
+    return this.fate === "no answer" ? { kind: "lost" } : this.answer(done ? 200 : 409);
+  }
+
+  private answer(status: number): Outcome {
+    return { kind: "answer", retryAfterS: null, ...json(status, {}), body: wire(this.worker.report()) };
+  }
+
+  private deliver(said: Report, answered: boolean): void {
+    const evidence = this.observer.observe(this.machine, said, REPORT);
+    if (!answered) return;
+    const token = tokenOf(this.context.lease, this.machine);
+    if (evidence !== "doubtful" && token >= this.worker.token) this.worker.token = token;
+  }
+
+  async step(action: Action): Promise<void> {
+    this.now += 2_000_000;
+    const { worker } = this;
+    switch (action) {
+      case "report":
+      case "report, no answer": {
+        const said = worker.report();
+        this.past.push(said);
+        this.deliver(said, action === "report");
+        break;
+      }
+      case "oldest copy":
+      case "latest copy": {
+        const said = action === "oldest copy" ? this.past[0] : this.past.at(-1);
+        if (said !== undefined) this.deliver(said, false);
+        break;
+      }
+      case "ask":
+        this.fate = "ok";
+        await this.commander.inquire(this.machine);
+        break;
+      case "command":
+      case "command, no answer":
+      case "command late":
+        this.fate = action === "command" ? "ok" : action === "command late" ? "late" : "no answer";
+        await this.commander.send(this.machine, true);
+        break;
+      case "late command lands": {
+        const order = this.late.shift();
+        if (order !== undefined) worker.execute(order);
+        break;
+      }
+      case "command repeated":
+        if (this.carriedOut !== null) worker.execute(this.carriedOut);
+        break;
+      case "session turns":
+        worker.session += 1;
+        worker.running.clear();
+        break;
+      case "back anew":
+        Object.assign(worker, { session: 1, tick: 0, token: 0 });
+        worker.running.clear();
+        break;
+      case "takeover":
+        this.hold({ kind: "unsure", token: firstToken(this.context.lease) + 65_535 });
+    }
+    this.freed ||= this.task.on === null;
+    // Once free it is started elsewhere: from then on it must not be here, whatever still lands.
+    if (this.freed && worker.running.size > 0) throw new Error("runs where it was called gone");
+  }
+}
+
+const explore = async (depth: number, make: () => Play): Promise<{ plays: number; broken: string | null }> => {
+  let plays = 0;
+  const visit = async (path: readonly Action[]): Promise<string | null> => {
+    if (path.length < depth) {
+      for (const action of ACTIONS) {
+        const broken = await visit([...path, action]);
+        if (broken !== null) return broken;
+      }
+      return null;
+    }
+    plays += 1;
+    const play = make();
+    for (const [at, action] of path.entries()) {
+      try {
+        await play.step(action);
+      } catch (error) {
+        return `${path.slice(0, at + 1).join(", ")}: ${(error as Error).message}`;
+      }
+    }
+    return null;
+  };
+  // A start has to have left for anything to go wrong: all orders begin with the ways to get there.
+  let broken: string | null = null;
+  for (const start of ["command", "command, no answer", "command late"] as const) {
+    broken ??= await visit(["report", "report", start]);
+  }
+  return { plays, broken };
+};
+
+/** Deeper by hand: RAINRIDGE_DEPTH=8 (docs/results.md). */
+const DEPTH = Number(process.env.RAINRIDGE_DEPTH ?? 6);
+
+test(`whatever comes in which order, no task is called gone that runs or may yet run there (${DEPTH} deep)`, {
+  timeout: 3_600_000,
+}, async () => {
+  const { plays, broken } = await explore(DEPTH, () => new Play());
+  assert.equal(broken, null);
+  assert.equal(plays, 3 * ACTIONS.length ** (DEPTH - 3));
+});
+
+/** Looks at each message in another way than it ought to. */
+const variant = (alter: (machine: Machine, said: Report) => Parameters<Observer["observe"]>[2] | null) => (): Play =>
+  new Play((observer, known) => {
+    const observe = observer.observe.bind(observer);
+    observer.observe = (machine, said, origin) => observe(machine, said, alter(known, said) ?? origin);
+    return observer;
+  });
+
+const BROKEN: Readonly<Record<string, () => Play>> = {
+  "copies are taken for what is so now": variant((machine) => {
+    machine.timely = true;
+    return null;
+  }),
+  "ticks and sessions are not looked at": variant((machine) => {
+    Object.assign(machine, { session: null, sequence: 0, staleSession: null, seenToken: 0 });
+    return null;
+  }),
+  "counters that began anew are believed without a fence": variant((machine) => {
+    machine.anewToken = 0;
+    for (const { launch } of machine.tasks) if (launch.kind === "unsure") Object.assign(launch, { token: 0 });
+    return null;
+  }),
+};
+
+for (const [name, make] of Object.entries(BROKEN)) {
+  test(`the exploration catches it where ${name}`, async () => {
+    const { broken } = await explore(7, make);
+    assert.match(broken ?? "nothing found", /runs where it was called gone/);
+  });
+}
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -34,20 +34,24 @@
   assert.ok(machine !== undefined);
   Object.assign(machine, { session: null, state: "booting" });
   await world.run(20_000_000, nothing);
-  new Observer(context, recorder).observe(machine, {
-    machine: machine.name,
-    address: "10.1.0.1:9000",
-    type: "big",
-    zone: "east",
-    spot: false,
-    session: 1,
-    sequence: 1,
-    token: 65_536,
-    noticeS: null,
-    tasks: [],
-    listing: null,
-    same: false,
-  });
+  new Observer(context, recorder).observe(
+    machine,
+    {
+      machine: machine.name,
+      address: "10.1.0.1:9000",
+      type: "big",
+      zone: "east",
+      spot: false,
+      session: 1,
+      sequence: 1,
+      token: 65_536,
+      noticeS: null,
+      tasks: [],
+      listing: null,
+      same: false,
+    },
+    { kind: "report" },
+  );
   // From when it was rented, its lease would be taken for over long before the worker ends anything.
   assert.equal(machine.leaseBase, context.clock.now());
 });
--- /dev/null
+++ b/test/nights.test.ts
@@ -0,0 +1,120 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { S } from "../src/model/index.js";
+import { Cluster, plainJob } from "./sim/cluster.js";
+
+/** When the trouble begins, and for how long it lasts where it does not pass by itself. */
+const BEGIN = 60 * S;
+const LASTS = 90 * S;
+
+type Trouble = (cluster: Cluster) => void;
+
+/** Addresses of some machines that have work, in the order of their names. */
+const busy = (cluster: Cluster, count: number): ReadonlySet<string> =>
+  new Set(
+    cluster.cloud
+      .running()
+      .flatMap(({ worker }) => (worker === null ? [] : [worker.host.address]))
+      .slice(0, count),
+  );
+
+const TROUBLES: Readonly<Record<string, Trouble>> = {
+  "a machine heard but not reached": (cluster) => cluster.site.deafen(busy(cluster, 2), LASTS, ["requests", "answers"]),
+  "a machine that commands do not reach": (cluster) => cluster.site.deafen(busy(cluster, 2), LASTS, ["requests"]),
+  "a machine that answers do not reach": (cluster) => cluster.site.deafen(busy(cluster, 2), LASTS, ["answers"]),
+  "all machines heard and none reached": (cluster) =>
+    cluster.site.deafen(busy(cluster, 99), LASTS / 2, ["requests", "answers"]),
+  "copies of reports up to three leases late": (cluster) => cluster.site.copyReports(0.5, 60 * S, LASTS),
+  "a lone holder": (cluster) => cluster.site.cutAllButWorkers(cluster.holder(), 40 * S, "reset"),
+  "a lone holder whose messages are held back": (cluster) =>
+    cluster.site.cutAllButWorkers(cluster.holder(), 40 * S, "hold", true),
+  "a holder back within a fraction of a second, again and again": (cluster) => {
+    for (let at = 0; at < 4; at += 1) cluster.world.after(at * 0.7 * S, () => cluster.crash(cluster.holder(), 0.2 * S));
+  },
+  "all controllers back within a fraction of a second": (cluster) => {
+    for (let round = 0; round < 3; round += 1) {
+      for (const at of [0, 1, 2]) cluster.world.after(round * 1.1 * S, () => cluster.crash(at, 0.1 * S * (at + 1)));
+    }
+  },
+  "machines back at once, their counters going on": (cluster) => {
+    for (const { worker } of cluster.cloud.running().slice(0, 3)) worker?.restart(true);
+  },
+  "machines back at once, their counters begun anew": (cluster) => {
+    for (const { worker } of cluster.cloud.running().slice(0, 3)) worker?.restart(false);
+  },
+};
+
+const PAIRS: Readonly<Record<string, Trouble>> = {
+  "by itself": () => undefined,
+  "with a takeover": (cluster) => cluster.world.after(4 * S, () => cluster.crash(cluster.holder(), 15 * S)),
+  "with a restart of all": (cluster) =>
+    cluster.world.after(5 * S, () => {
+      for (const at of [0, 1, 2]) cluster.crash(at);
+    }),
+  "with a state outage": (cluster) => cluster.world.after(3 * S, () => cluster.state.outage(15 * S)),
+  "with a zone cut off": (cluster) => cluster.world.after(2 * S, () => cluster.site.cutZone("west", 30 * S, "hold")),
+};
+
+/** Replicas, arrays that run on through the trouble, and a stream of small jobs. */
+const night = async (mesh: boolean, ...troubles: readonly Trouble[]): Promise<Cluster> => {
+  const cluster = new Cluster(71, { mesh });
+  cluster.rooms.ordinary = 12;
+  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+  const service = { shape: "daemon", rank: "prod", jobclass: "web", cpus: 2, sizeGb: 0.1 } as const;
+  cluster.submit(plainJob("wk-900001", { ...service, shards: 6, spread: true }));
+  cluster.submit(plainJob("wk-900002", { ...service, shards: 3 }));
+  cluster.submit(plainJob("wk-900003", { jobclass: "long", shards: 20, cpus: 2, guessS: 70 }), { runUs: 70 * S });
+  let number = 0;
+  const next = (): void => {
+    number += 1;
+    const ref = `wk-${String(number).padStart(6, "0")}`;
+    cluster.submit(plainJob(ref, { shards: 1 + (number % 3), cpus: 1, loaner: number % 2 === 0 }), { runUs: 8 * S });
+    if (number % 7 === 0) cluster.world.after(3 * S, () => cluster.users.cancel(ref));
+    if (cluster.world.now < BEGIN + LASTS) cluster.world.after(2 * S, next);
+  };
+  cluster.world.after(20 * S, next);
+  await cluster.run(BEGIN);
+  for (const trouble of troubles) trouble(cluster);
+  return cluster;
+};
+
+const settled = (cluster: Cluster): void => {
+  const open = cluster.unfinished();
+  assert.deepEqual(open, [], cluster.story(open[0] ?? "-"));
+  const missing = cluster.missingReplicas();
+  assert.deepEqual(missing, [], cluster.story(missing[0]?.split("/")[0] ?? "-"));
+  assert.deepEqual(cluster.checker.starved(), []);
+  assert.deepEqual(cluster.checker.lateLargest(), []);
+  assert.deepEqual(cluster.errors, []);
+};
+
+for (const [name, trouble] of Object.entries(TROUBLES)) {
+  for (const [beside, other] of Object.entries(PAIRS)) {
+    test(`${name}, ${beside}`, async () => {
+      const cluster = await night(true, trouble, other);
+      await cluster.run(LASTS);
+      cluster.checker.calmFrom = cluster.world.now;
+      await cluster.run(150 * S);
+      settled(cluster);
+    });
+  }
+}
+
+/** The longest that any replica was on no machine between the two times. */
+const nobodyIsBound = async (swallows: readonly ("requests" | "answers")[], restart: Trouble): Promise<Cluster> => {
+  const cluster = await night(false, (c) => c.site.deafen(busy(c, 2), 600 * S, swallows), restart);
+  // Long before the machines are reached again, all that was on them has gone on elsewhere.
+  await cluster.run(110 * S);
+  cluster.checker.calmFrom = cluster.world.now;
+  await cluster.run(90 * S);
+  settled(cluster);
+  return cluster;
+};
+
+for (const swallows of [["requests", "answers"], ["requests"], ["answers"]] as const) {
+  for (const beside of ["by itself", "with a restart of all"] as const) {
+    test(`no job is bound to a machine that ${swallows.join(" and ")} never reach again, ${beside}`, async () => {
+      await nobodyIsBound(swallows, PAIRS[beside] ?? (() => undefined));
+    });
+  }
+}
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -49,8 +49,17 @@
   cancelAsked: boolean;
   cancelledAt: number | null;
   lastGood: number;
+  /** When its user first asked to have it run. */
+  readonly submittedAt: number;
 }
 
+/** Without an answer for so long once all troubles are over, a job is forgotten, however others fare. */
+const FORGOTTEN_AFTER = 75_000_000;
+/** So long at most until the first task of a job is on a machine. */
+const LONGEST_WAIT = 240_000_000;
+/** Of a class's jobs, the largest by all the CPUs that they ask for. */
+const LARGEST_SHARE = 0.1;
+
 /** Checks the rules of the protocol on every event; throws at the first that is broken. */
 export class Checker {
   readonly jobs = new Map<string, TrueJob>();
@@ -62,7 +71,10 @@
   /** Cancelled jobs in the order in which the time of their tasks is over. */
   private readonly cancelled: { readonly id: string; readonly until: number }[] = [];
   starts = 0;
-  private readonly everOn = new Set<string>();
+  /** From now on nothing troubles the site; set by whoever made the troubles. */
+  calmFrom = Number.POSITIVE_INFINITY;
+  /** When a task of the job was first on a machine. */
+  private readonly everOn = new Map<string, number>();
   private broken: BrokenRule | null = null;
 
   constructor(
@@ -84,6 +96,7 @@
       cancelAsked: false,
       cancelledAt: null,
       lastGood: this.now(),
+      submittedAt: this.now(),
     };
     this.told.set(id, known);
     return known;
@@ -94,7 +107,7 @@
     const job = this.jobs.get(id);
     if (job === undefined) throw new Error(`no such job ${id}`);
     this.starts += 1;
-    this.everOn.add(id);
+    if (!this.everOn.has(id)) this.everOn.set(id, this.now());
     const places = this.on.get(task) ?? new Set();
     if (places.size > 0) this.break("ran_twice", `${task} on ${machine.name} and ${[...places][0]?.name}`);
     this.place(job, machine);
@@ -204,6 +217,8 @@
       if (!this.jobs.has(id)) this.break("invented", id);
       told.lastGood = now;
       if (phase !== null) this.phase(id, told, phase);
+    } else if (told.accepted && now - Math.max(told.lastGood, this.calmFrom) > FORGOTTEN_AFTER) {
+      this.break("forgotten", `${id}: no answer for 75 s of calm`);
     } else if (told.accepted && now - told.lastGood > 90_000_000) {
       const others = this.polls.filter((poll) => poll.job !== id);
       if (others.length > 10 && others.filter((poll) => poll.good).length > others.length / 2) {
@@ -234,18 +249,63 @@
     }
   }
 
+  /** Accepted jobs that their users have not cancelled, the largest of each class among them. */
+  private wanted(): { readonly job: TrueJob; readonly told: Told; readonly largest: boolean }[] {
+    const jobs = this.accepted().flatMap((id) => {
+      const job = this.jobs.get(id);
+      const told = this.state(id);
+      return job === undefined || told.cancelAsked ? [] : [{ job, told }];
+    });
+    const sizes = new Map<string, number[]>();
+    for (const { job } of jobs) {
+      const known = sizes.get(job.jobClass) ?? [];
+      known.push(job.cpus * job.tasks);
+      sizes.set(job.jobClass, known);
+    }
+    // The smallest size that still belongs to the largest tenth; all of one size are equals.
+    const least = new Map(
+      [...sizes].map(([name, all]) => {
+        const sorted = all.sort((a, b) => b - a);
+        return [name, sorted[Math.max(0, Math.ceil(sorted.length * LARGEST_SHARE) - 1)] ?? 0];
+      }),
+    );
+    return jobs.map(({ job, told }) => {
+      return { job, told, largest: job.cpus * job.tasks >= (least.get(job.jobClass) ?? 0) };
+    });
+  }
+
+  /** Of the largest jobs of each class, those of which no task was on a machine within four minutes. */
+  lateLargest(): string[] {
+    return this.wanted()
+      .filter(({ job, told, largest }) => {
+        const begun = this.everOn.get(job.id) ?? this.now();
+        return largest && begun - told.submittedAt > LONGEST_WAIT;
+      })
+      .map(({ job }) => job.id);
+  }
+
+  /** Seconds from the first try at submission to the first task on a machine, of each of the largest jobs. */
+  waitsOfLargest(): ReadonlyMap<string, number> {
+    return new Map(
+      this.wanted().flatMap(({ job, told, largest }) => {
+        const begun = this.everOn.get(job.id);
+        return largest && begun !== undefined ? [[job.id, (begun - told.submittedAt) / 1e6] as const] : [];
+      }),
+    );
+  }
+
   /**
-   * By class and by team, of the accepted jobs that their users have not cancelled: the share that has had a task on a
+   * By class, by team and by the largest jobs of each class, of the accepted jobs that their users have not cancelled: the share that has had a task on a
    * machine, and the share of which all tasks have completed (services: a task has been on a machine).
    */
   served(): ReadonlyMap<string, { readonly jobs: number; readonly begun: number; readonly done: number }> {
     const groups = new Map<string, { jobs: number; begun: number; done: number }>();
-    for (const id of this.accepted()) {
-      const job = this.jobs.get(id);
-      if (job === undefined || this.state(id).cancelAsked) continue;
-      const begun = this.everOn.has(id);
-      const done = job.service ? begun : this.finished.get(id)?.size === job.tasks;
-      for (const name of [`class ${job.jobClass}`, `team ${job.team}`]) {
+    for (const { job, largest } of this.wanted()) {
+      const begun = this.everOn.has(job.id);
+      const done = job.service ? begun : this.finished.get(job.id)?.size === job.tasks;
+      const names = [`class ${job.jobClass}`, `team ${job.team}`];
+      if (largest) names.push(`largest of ${job.jobClass}`);
+      for (const name of names) {
         const group = groups.get(name) ?? { jobs: 0, begun: 0, done: 0 };
         groups.set(name, { jobs: group.jobs + 1, begun: group.begun + Number(begun), done: group.done + Number(done) });
       }
@@ -255,7 +315,7 @@
     );
   }
 
-  /** Less than half of it done: names of the classes and teams that come away with too little. */
+  /** Less than half of it done: names of the classes, teams and largest jobs that come away with too little. */
   starved(): string[] {
     return [...this.served()].filter(([, { done }]) => done < 0.5).map(([name]) => name);
   }
--- a/test/sim/troubles.ts
+++ b/test/sim/troubles.ts
@@ -29,6 +29,45 @@
   }
 };
 
+/** What came with the added rules: one-way loss, late copies, lone holders, returns within a fraction of a second. */
+export const badNight = (cluster: Cluster, random: Random): void => {
+  const forUs = random.int(5, 60) * S;
+  const mode = random.pick(["hold", "reset"] as const);
+  const machines = cluster.cloud.running().flatMap(({ worker }) => (worker === null ? [] : [worker]));
+  const back = (): number => random.int(1, 900) * 1_000;
+  const node = random.int(0, 2);
+  switch (random.int(0, 6)) {
+    case 0: {
+      const chosen = machines.filter(() => random.chance(random.pick([0.1, 0.5, 1])));
+      const swallows = random.pick([["requests", "answers"], ["requests"], ["answers"]] as const);
+      cluster.site.deafen(new Set(chosen.map(({ host }) => host.address)), forUs, swallows);
+      break;
+    }
+    case 1:
+      cluster.site.copyReports(random.pick([0.05, 0.5]), random.pick([1, 20, 60]) * S, forUs);
+      break;
+    case 2:
+      cluster.site.cutAllButWorkers(node, forUs, mode, random.chance(0.5));
+      break;
+    case 3:
+      cluster.crash(node, back());
+      break;
+    case 4:
+      // All of them, again and again, also while they elect a leader and take the block.
+      for (let at = 0; at < random.int(1, 6) * S; at += random.int(50, 900) * 1_000) {
+        cluster.world.after(at, () => cluster.crash(random.int(0, 2), back()));
+      }
+      break;
+    case 5:
+      for (const at of [0, 1, 2]) cluster.crash(at, back());
+      break;
+    default: {
+      const kept = random.chance(0.5);
+      for (const worker of machines) if (random.chance(0.3)) worker.restart(kept);
+    }
+  }
+};
+
 /** Every kind of trouble the users listed, drawn at random, often several at once. */
 export const trouble = (cluster: Cluster, random: Random, kinds = 16): void => {
   const length = (): number => random.int(5, 40) * S;
