--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -50,7 +50,8 @@
   idleSince: now,
   commanding: false,
   commandAfter: 0 as Micros,
-  lostToken: null,
+  launchFence: 0,
+  forgotAt: 0 as Micros,
   deleting: false,
   probed: 0 as Micros,
 });
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -71,8 +71,10 @@
   idleSince: Micros;
   commanding: boolean;
   commandAfter: Micros;
-  /** Highest token under which a command got lost on the way; null once the worker is known to be past it. */
-  lostToken: number | null;
+  /** The fence under which a start was last sent: below a higher one none of them can arrive, again or late. */
+  launchFence: number;
+  /** When the fence was last raised so that ended attempts may be forgotten. */
+  forgotAt: Micros;
   deleting: boolean;
   probed: Micros;
 }
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -2,15 +2,17 @@
 import { attemptOf, confirmed, isActive } from "../bookkeeping/tasks.js";
 import { formatJson, parseJson } from "../protocol/json.js";
 import { type Command, commandRequest, readReport } from "../protocol/worker.js";
-import { type Micros, ms } from "../transport/clock.js";
+import { type Micros, ms, seconds } from "../transport/clock.js";
 import type { Outcome } from "../transport/http.js";
-import { type BlockContext, firstToken, tokenOf } from "./context.js";
+import { type BlockContext, fencesLeft, firstToken, tokenOf } from "./context.js";
 import { decideDrain } from "./decisions/drain.js";
 import { gotNothing, heardBack } from "./decisions/reach.js";
 import type { Observer } from "./observer.js";
 
 const TIMEOUT = ms(1_500);
 const RETRY = ms(500);
+/** Between two times that ended attempts are forgotten on one machine. */
+const FORGET_PERIOD = seconds(8);
 /** No answer within this is a message that got lost, not a connection that was refused. */
 const PROMPT = ms(200);
 /** Keeps a request well below the limit of a body. */
@@ -38,11 +40,30 @@
       }
     }
     for (const [task, attempt] of machine.strays) commands.push({ op: "stop", task, attempt, graceS: 0 });
-    // A start that got lost could bring a forgotten attempt back to life.
-    if (machine.lostToken === null) {
-      for (const [name, attempt] of machine.exited) {
-        if (this.forgettable(name, attempt)) commands.push({ op: "forget", task: name, attempt });
-      }
+    return commands.slice(0, MAX_COMMANDS);
+  }
+
+  /**
+   * Attempts that have ended and are on record, for the response to a report; called before its token is made up. Once
+   * forgotten, an attempt would be started anew by its own start command, come late or a second time (a repeat of one that
+   * had been carried out started tasks twice on 15 of 60 days). So the same answer that has them forgotten shows a token above all
+   * those under which anything was started; at most once in a while, since commands under way are dropped by it.
+   */
+  forgets(machine: Machine): Command[] {
+    const { clock, lease } = this.context;
+    if (machine.exited.size === 0) return [];
+    const commands: Command[] = [];
+    for (const [name, attempt] of machine.exited) {
+      if (this.forgettable(name, attempt)) commands.push({ op: "forget", task: name, attempt });
+    }
+    if (commands.length === 0 || machine.launchFence < machine.fence) return commands.slice(0, MAX_COMMANDS);
+    if (machine.commanding || clock.now() - machine.forgotAt < FORGET_PERIOD) return [];
+    machine.forgotAt = clock.now();
+    machine.fence += 1;
+    if (!fencesLeft(machine)) {
+      this.context.log.info("fences used up, starting over", { machine: machine.name, number: lease.number });
+      this.context.startOver();
+      return [];
     }
     return commands.slice(0, MAX_COMMANDS);
   }
@@ -93,9 +114,9 @@
     const trusted = machine.state === "up" && machine.seenToken >= firstToken(lease) && machine.anewToken === 0;
     const starts = trusted ? this.starts(machine) : [];
     const others = this.standing(machine);
-    // What is only to be forgotten can wait for the next report's answer.
-    if (starts.length === 0 && !probe && others.every(({ op }) => op === "forget")) return;
+    if (starts.length === 0 && !probe && others.length === 0) return;
     const token = tokenOf(lease, machine);
+    if (starts.length > 0) machine.launchFence = machine.fence;
     const commands: Command[] = [
       ...others,
       ...starts.map((task): Command => ({ op: "start", task: task.name, attempt: attemptOf(task.want) })),
@@ -122,7 +143,7 @@
         this.lose(machine, token, still);
       }
       machine.commandAfter = (outcome.status === 200 ? clock.now() : clock.now() + RETRY) as Micros;
-      if (this.starts(machine).length > 0 || this.standing(machine).some(({ op }) => op === "stop")) {
+      if (this.starts(machine).length > 0 || this.standing(machine).length > 0) {
         this.context.wakeCommands(machine);
       }
       return;
@@ -168,10 +189,9 @@
    * spoken to under a higher one; a report that shows it proves the lost command dead.
    */
   private lose(machine: Machine, token: number, starts: readonly Task[]): void {
-    // Stops and forgets name an attempt that has been seen: late or twice, they do no harm.
+    // Stops name an attempt that has been seen: late or twice, they do no harm.
     if (starts.length === 0) return;
     for (const task of starts) task.launch = { kind: "unsure", token };
-    machine.lostToken = token;
     machine.fence += 1;
   }
 
@@ -182,6 +202,6 @@
       else action.task.stop = { graceS: action.graceS };
     }
     const leaving = machine.noticeUntil !== null || machine.drain === "returning";
-    if (leaving && this.standing(machine).some(({ op }) => op === "stop")) this.context.wakeCommands(machine);
+    if (leaving && this.standing(machine).length > 0) this.context.wakeCommands(machine);
   }
 }
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -80,6 +80,9 @@
 export const answerTokenOf = (lease: BlockLease, machine: Machine): number =>
   tokenOf(lease, machine) + (machine.reach.asked === null ? 0 : 1);
 
+/** Some are kept back for starts that get lost before the block is taken under a fresh number. */
+export const fencesLeft = (machine: Machine): boolean => machine.fence < FENCES - 1_000;
+
 export const firstToken = (lease: BlockLease): number => lease.number * FENCES;
 
 export const backOff = (failures: number, first: Micros, most: Micros): Micros =>
--- a/src/coordination/decisions/evidence.ts
+++ b/src/coordination/decisions/evidence.ts
@@ -48,7 +48,7 @@
   const place = order(known, said);
   // Neither ticks nor tokens ever go down in one life of a worker.
   if (over || place <= 0 || said.token < known.seenToken) {
-    if (origin.kind === "report") return place === 0 ? "old" : "doubtful";
+    if (origin.kind === "report") return place === 0 && said.token === known.seenToken ? "old" : "doubtful";
     return origin.askedAt >= known.learntAt ? "anew" : "old";
   }
   const ours = said.token >= needed;
@@ -57,3 +57,11 @@
   if (known.timely && known.session !== null && said.session > known.session) return "turned";
   return ours ? "news" : "timely";
 };
+
+/**
+ * A report that looks old may just have been overtaken by an answer, and its worker waits for ours. Not where it shows a
+ * lower token: shown ours, a worker that has begun anew would look like the one before, with the commands to that still
+ * about.
+ */
+export const maybeOvertaken = (known: Known & { readonly leaseOver: boolean }, said: Said): boolean =>
+  !known.leaseOver && said.session === known.session && said.token >= known.seenToken;
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -113,7 +113,6 @@
     }
     if (report.token < needed) return evidence;
     machine.anewToken = 0;
-    if (machine.lostToken !== null && report.token > machine.lostToken) machine.lostToken = null;
     if (!report.same) {
       this.reconcile(machine, report);
       // Only what the list did itself is known to follow from it: a start not seen yet may still be called lost by it.
@@ -167,7 +166,6 @@
     const begun = [...machine.tasks].filter(({ launch }) => launch.kind !== "none");
     this.context.log.info("session turned", { machine: machine.name, session: report.session, tasks: begun.length });
     for (const task of begun) this.gone(task);
-    machine.lostToken = null;
     machine.strays = new Map();
     machine.exited = new Map();
   }
@@ -187,7 +185,6 @@
       this.context.block.reported(task, null);
       task.runningSince = null;
     }
-    machine.lostToken = token;
     machine.fence += 1;
     machine.anewToken = tokenOf(lease, machine);
     Object.assign(machine.reach, { unanswered: 0, asked: null, unseen: 0 });
@@ -248,23 +245,31 @@
       listed.set(entry.task, same);
       (entry.state === "exited" ? exited : strays).set(entry.task, entry.attempt);
     }
+    let vanished = false;
     for (const task of [...machine.tasks]) {
       const attempt = attemptOf(task.want);
       const entry = listed.get(task.name)?.find((candidate) => candidate.attempt === attempt);
-      if (entry === undefined) this.unlisted(task, report.token);
-      else {
+      if (entry === undefined) {
+        vanished ||= task.launch.kind === "seen";
+        this.unlisted(machine, task, report.token);
+      } else {
         if (entry.state !== "exited") strays.delete(task.name);
         this.listed(machine, task, entry);
       }
     }
     machine.strays = strays;
     machine.exited = exited;
+    if (vanished) {
+      this.context.log.info("tasks vanished", { machine: machine.name });
+      machine.fence += 1;
+      this.context.introduce(machine);
+    }
     if (strays.size > 0) {
       this.context.log.info("strays", { machine: machine.name, tasks: [...strays.keys()].slice(0, 5) });
     }
   }
 
-  private unlisted(task: Task, token: Whole): void {
+  private unlisted(machine: Machine, task: Task, token: Whole): void {
     switch (task.launch.kind) {
       case "none":
       case "sending":
@@ -278,7 +283,11 @@
         else if (task.on !== null) this.context.wakeCommands(task.on);
         return;
       case "seen":
-        this.gone(task);
+        // In one life of a worker no attempt vanishes that it was not told to forget. It has begun anew, and its start may
+        // land there once more until a higher token is shown.
+        task.launch = { kind: "unsure", token: tokenOf(this.context.lease, machine) };
+        this.context.block.reported(task, null);
+        task.runningSince = null;
     }
   }
 
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -11,7 +11,7 @@
 import type { Cloud } from "./cloud.js";
 import { Commander } from "./commander.js";
 import { answerTokenOf, type BlockContext, type BlockLease, firstToken, type Services } from "./context.js";
-import type { Evidence, Origin } from "./decisions/evidence.js";
+import { type Evidence, maybeOvertaken, type Origin } from "./decisions/evidence.js";
 import { answersReach, isDeaf, isReached } from "./decisions/reach.js";
 import type { Extension, Holding } from "./extension.js";
 import { Lanes } from "./lanes.js";
@@ -178,20 +178,17 @@
       this.silences.heard(machine.zone);
       return null;
     }
-    const earlier = machine.session !== null && report.session < machine.session;
+    const overtaken = maybeOvertaken(machine, report);
     const learnt = this.observer.observe(machine, report, REPORT);
-    // One of the same session may have been overtaken, and somebody waits for its answer.
-    if (learnt === "doubtful" && (earlier || machine.leaseOver)) return null;
+    if (learnt === "doubtful" && !overtaken) return null;
     const trusted = machine.seenToken >= firstToken(this.lease) && learnt !== "unproven";
     if (!trusted) this.introduce(machine);
     else if (this.commander.urgent(machine)) this.wakeCommands(machine);
     if (!this.mayAnswer(machine, learnt)) return null;
     machine.leaseBase = clock.now();
     machine.leaseOver = false;
-    return {
-      token: answerTokenOf(this.lease, machine),
-      commands: trusted ? this.commander.standing(machine) : [],
-    };
+    const commands = trusted ? [...this.commander.standing(machine), ...this.commander.forgets(machine)] : [];
+    return { token: answerTokenOf(this.lease, machine), commands };
   }
 
   /**
@@ -515,7 +512,11 @@
         void this.guard(probe);
       }
     }
-    const dead = silent.filter((machine) => machine.probed >= machine.lastHeard && now - machine.probed > PROBE_TIME);
+    // Where nobody at all has been heard since it was asked, the silence may be ours: with six machines one was given up
+    // 3.6 s into a cut from all of them, before the cut was noticed.
+    const dead = silent.filter(({ probed, lastHeard }) => {
+      return probed >= lastHeard && now - probed > PROBE_TIME && (up.length < 3 || newest > probed);
+    });
     this.unreached(up);
     const zones = this.cutZones(up, limit);
     this.rental.cutZones = zones;
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -303,6 +303,12 @@
     };
   }
 
+  /** Requests that were carried out come once more, up to so long after they were sent. */
+  repeatRequests(chance: number, mostLateUs: number, forUs: number): void {
+    const until = this.world.now + forUs;
+    this.network.copies = { of: (_, { target }) => target !== "/hello", chance, mostLateUs, until };
+  }
+
   /** Cuts one machine off from every controller. */
   cutMachine(address: string, forUs: number, mode: "hold" | "reset"): void {
     this.network.cut((a, b) => a === address && this.isNode(b), forUs, mode);
--- a/test/block-fixtures.ts
+++ b/test/block-fixtures.ts
@@ -52,11 +52,12 @@
   deadlineS: null,
 };
 
+const settings = parseSettings(settingsText(0));
+
 /** A block of machines that are up, and the context its loops work in, with nothing else around it. */
 export const makeBlock = (machines: number, answers: Outcome[] = []) => {
   const world = new World();
   const clock = new HostClock(world, 1, 1_000_000);
-  const settings = parseSettings(settingsText(0));
   const block = new Block(clock, 128, settings.teams, () => new Map(TYPES.map((type) => [type.name, type])));
   for (let at = 0; at < machines; at += 1) {
     const zone = at % 2 === 0 ? "east" : "west";
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { S } from "../src/model/index.js";
-import { Cluster, plainJob } from "./sim/cluster.js";
+import { Random } from "./random.js";
+import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
 
 /** When the trouble begins, and for how long it lasts where it does not pass by itself. */
 const BEGIN = 60 * S;
@@ -25,6 +26,8 @@
   "all machines heard and none reached": (cluster) =>
     cluster.site.deafen(busy(cluster, 99), LASTS / 2, ["requests", "answers"]),
   "copies of reports up to three leases late": (cluster) => cluster.site.copyReports(0.5, 60 * S, LASTS),
+  "requests carried out a second time, up to half a minute later": (cluster) =>
+    cluster.site.repeatRequests(0.3, 30 * S, LASTS),
   "a lone holder": (cluster) => cluster.site.cutAllButWorkers(cluster.holder(), 40 * S, "reset"),
   "a lone holder whose messages are held back": (cluster) =>
     cluster.site.cutAllButWorkers(cluster.holder(), 40 * S, "hold", true),
@@ -118,3 +121,28 @@
     });
   }
 }
+
+test("a start command that comes a second time starts nothing that has ended", async () => {
+  // Ended and on record, an attempt was forgotten under the token that it had been started under; the command, repeated,
+  // started it once more, beside the next attempt elsewhere: 15 of 60 such days broke a rule.
+  for (const seed of [4, 8, 16, 17]) {
+    const cluster = new Cluster(seed, { mesh: seed % 2 === 0 });
+    const random = new Random(seed + 1_000);
+    for (let number = 0; number < 30; number += 1) {
+      const job = randomJob(random, number);
+      const at = random.int(2 * S, 150 * S);
+      cluster.world.at(at, () => cluster.submit(job, { runUs: job.shape === "daemon" ? null : random.int(3, 30) * S }));
+      if (random.chance(0.2)) cluster.world.at(at + random.int(0, 40 * S), () => cluster.users.cancel(job.ref));
+    }
+    cluster.site.repeatRequests(0.3, 25 * S, 200 * S);
+    for (let number = 0; number < 3; number += 1) {
+      cluster.world.at(random.int(20 * S, 150 * S), () => {
+        const machines = cluster.cloud.running();
+        if (machines.length > 0) cluster.cloud.take(random.pick(machines).ref);
+        for (const { worker } of machines) if (random.chance(0.2)) worker?.notice(10 * S);
+      });
+    }
+    await cluster.run(300 * S);
+    assert.ok(cluster.checker.starts > 40);
+  }
+});
