Control questions before machines are given up; answers that are lost are told by a question a second later; a whole lease from the first proof

Found on the model: with all machines heard and none reached six of seven were deleted one by one; a worker first reached in a session that unproven reports had named was given an old lease, and a task ran twice.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -28,7 +28,7 @@
   unprovenSince: null,
   doubtedAt: 0 as Micros,
   doubts: 0,
-  reach: { unanswered: 0, asked: null, unseen: 0 },
+  reach: { unanswered: 0, asked: null, unseen: 0, toldAt: null, answeredAt: 0 as Micros },
   unreachedSince: null,
   fence: 0,
   staleSession: null,
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -36,7 +36,13 @@
   /** Reports in a row that look older than what is known. */
   doubts: number;
   /** Questions and commands without an answer, and answers without an effect (decisions/reach.ts). */
-  readonly reach: { unanswered: number; asked: Whole | null; unseen: number };
+  readonly reach: {
+    unanswered: number;
+    asked: Whole | null;
+    unseen: number;
+    toldAt: Micros | null;
+    answeredAt: Micros;
+  };
   /** It was said that the machine is heard and not reached. */
   unreachedSince: Micros | null;
   /** Raised whenever a command may still be under way that must not land later. */
--- a/src/coordination/commander.ts
+++ b/src/coordination/commander.ts
@@ -175,11 +175,11 @@
 
   /** Whether what is sent there gets there. What fails at once says nothing: it has not left, or nobody listens yet. */
   private told(machine: Machine, outcome: Outcome, askedAt: Micros): void {
+    const { clock, overload } = this.context;
     if (outcome.kind === "answer") {
-      heardBack(machine.reach);
+      heardBack(machine.reach, clock.now());
       return;
     }
-    const { clock, overload } = this.context;
     if (machine.state !== "up" || clock.now() - askedAt < PROMPT || overload.atLeast("lean")) return;
     gotNothing(machine.reach);
   }
--- a/src/coordination/decisions/reach.ts
+++ b/src/coordination/decisions/reach.ts
@@ -1,4 +1,5 @@
 import type { Whole } from "../../protocol/json.js";
+import { type Micros, seconds } from "../../transport/clock.js";
 
 /** Whether what is sent to a worker gets there, told from effects alone; kept with the machine. */
 export interface Reach {
@@ -8,6 +9,10 @@
   asked: Whole | null;
   /** Reports in a row that did not show it, though the answer to the one before had it. */
   unseen: number;
+  /** When it was first in an answer; null: in none yet. */
+  toldAt: Micros | null;
+  /** When a question or command was last answered. */
+  answeredAt: Micros;
 }
 
 /** One may get lost on any network. */
@@ -20,9 +25,26 @@
 /** Nothing gets there: one report without an effect of the answer before is enough, where commands fail as well. */
 export const isDeaf = (reach: Reach): boolean => !commandsReach(reach) && reach.unseen > 0;
 
+/** An answer that was on its way when the question left may get there a little later. */
+const ON_ITS_WAY = seconds(0.7);
+
 /** A question or command has been answered. */
-export const heardBack = (reach: Reach): void => {
+export const heardBack = (reach: Reach, now: Micros): void => {
   reach.unanswered = 0;
+  reach.answeredAt = now;
+};
+
+/** An answer to a question that left at `askedAt`: where it does not show what an earlier answer to a report told, that was lost. */
+export const questionCame = (reach: Reach, token: Whole, askedAt: Micros): void => {
+  if (reach.asked === null || reach.toldAt === null) return;
+  if (token >= reach.asked) seen(reach);
+  else if (askedAt - reach.toldAt > ON_ITS_WAY) reach.unseen = Math.max(reach.unseen, TOO_MANY);
+};
+
+const seen = (reach: Reach): void => {
+  reach.asked = null;
+  reach.toldAt = null;
+  reach.unseen = 0;
 };
 
 export const gotNothing = (reach: Reach): void => {
@@ -36,10 +58,9 @@
 export const reportCame = (reach: Reach, token: Whole, skipped: boolean): boolean => {
   if (reach.asked === null) return skipped || reach.unanswered > 0;
   if (token >= reach.asked) {
-    reach.asked = null;
-    reach.unseen = 0;
+    seen(reach);
     return reach.unanswered > 0;
   }
-  reach.unseen += 1;
+  if (reach.toldAt !== null) reach.unseen += 1;
   return true;
 };
--- a/src/coordination/inquiries.ts
+++ b/src/coordination/inquiries.ts
@@ -51,8 +51,13 @@
     while (!this.around.stopped() && this.inquiring < most) {
       const machine = this.take();
       if (machine === undefined) return;
-      // Its own report came first.
-      if (machine.timely && machine.seenToken >= firstToken(this.around.lease) && machine.learntAt > machine.doubtedAt)
+      // Its own report came first, and nothing of it is in doubt.
+      if (
+        machine.timely &&
+        machine.seenToken >= firstToken(this.around.lease) &&
+        machine.learntAt > machine.doubtedAt &&
+        machine.reach.asked === null
+      )
         continue;
       this.inquiring += 1;
       void this.around.guard(this.around.commander.inquire(machine)).then(() => {
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -6,7 +6,7 @@
 import { type Micros, seconds } from "../transport/clock.js";
 import { type BlockContext, backOff, FENCES, firstToken, tokenOf } from "./context.js";
 import { type Evidence, type Origin, weigh } from "./decisions/evidence.js";
-import { answersReach, commandsReach, heardBack, isReached, reportCame } from "./decisions/reach.js";
+import { answersReach, commandsReach, isReached, questionCame, reportCame } from "./decisions/reach.js";
 import { acquit, RUNS_WELL, takeFailure } from "./decisions/trial.js";
 import type { Recorder } from "./recorder.js";
 
@@ -14,7 +14,6 @@
 const RETRY_MOST = seconds(30);
 /** Reports in a row that look older than what is known, before the worker is asked. */
 const DOUBTS = 2;
-const REACHED = { unanswered: 0, asked: null, unseen: 0 };
 
 export type ObserverContext = Pick<
   BlockContext,
@@ -85,15 +84,15 @@
     }
     const skipped =
       machine.timely && report.session === machine.session && Number(report.sequence) > Number(machine.sequence) + 1;
+    const fresh = !machine.timely || report.session !== machine.session;
     machine.timely = true;
     machine.doubts = 0;
     // A session begins with a whole lease, and may have begun just now: counted from when the machine was rented
-    // or found, the leases of workers that had not yet been answered here seemed over while they ran tasks.
-    if (report.session !== machine.session) machine.leaseBase = clock.now();
+    // or found, or from an answer that never got there, the leases of workers seemed over while they ran tasks.
+    if (fresh) machine.leaseBase = clock.now();
     if (report.session !== machine.session || report.token !== machine.seenToken) machine.listing = null;
     this.counted(machine, report);
-    if (origin.kind === "answer") heardBack(machine.reach);
-    else this.answered(machine, report, skipped);
+    this.judgeReach(machine, report, origin, skipped);
     machine.address = report.address;
     machine.lastHeard = clock.now();
     this.sayReach(machine);
@@ -132,13 +131,14 @@
     if (fence > machine.fence && fence < FENCES) machine.fence = fence;
   }
 
-  /** What the report tells of the answers before it. */
-  private answered(machine: Machine, report: Report, skipped: boolean): void {
+  /** What the message tells of answers before it; `skipped`: messages before it went elsewhere or got lost. */
+  private judgeReach(machine: Machine, report: Report, origin: Origin, skipped: boolean): void {
     const { lease, overload } = this.context;
     const { reach } = machine;
     // Answered late by ourselves, the worker has gone elsewhere.
     if (overload.atLeast("lean")) return;
-    const ask = reportCame(reach, report.token, skipped);
+    if (origin.kind === "answer") questionCame(reach, report.token, origin.askedAt);
+    const ask = origin.kind === "answer" ? skipped : reportCame(reach, report.token, skipped);
     if (ask) reach.asked = tokenOf(lease, machine) + 1;
   }
 
@@ -187,7 +187,7 @@
     }
     machine.fence += 1;
     machine.anewToken = tokenOf(lease, machine);
-    Object.assign(machine.reach, { unanswered: 0, asked: null, unseen: 0 });
+    Object.assign(machine.reach, { unanswered: 0, asked: null, unseen: 0, toldAt: null });
     machine.staleSession = null;
     machine.leaseOver = false;
     machine.leaseBase = clock.now();
@@ -279,7 +279,7 @@
         if (token <= task.launch.token) return;
         task.launch = { kind: "none" };
         // Where commands do not arrive it would wait for as long as they don't.
-        if (task.job.cancelled || task.stop !== null || !isReached(task.on?.reach ?? REACHED)) this.gone(task);
+        if (task.job.cancelled || task.stop !== null || !isReached(machine.reach)) this.gone(task);
         else if (task.on !== null) this.context.wakeCommands(task.on);
         return;
       case "seen":
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -26,6 +26,8 @@
 const TICK = ms(250);
 const REPORT: Origin = { kind: "report" };
 const ROUND_GAP = ms(10);
+/** Whether an answer got to its worker is asked so long after it. */
+const VERIFY_AFTER = seconds(1);
 const STANDSTILL = seconds(1.5);
 const SUMMARY_PERIOD = seconds(30);
 /** Commands sent at once: to machines that are heard, and to others. */
@@ -177,6 +179,14 @@
     if (!this.mayAnswer(machine, learnt)) return null;
     machine.leaseBase = clock.now();
     machine.leaseOver = false;
+    const { reach } = machine;
+    if (reach.asked !== null && reach.toldAt === null) {
+      reach.toldAt = clock.now();
+      // Seen a moment later whether it got there, instead of with a report that may come a quarter of a lease later.
+      clock.after(VERIFY_AFTER, () => {
+        if (!this.stopped && machine.reach.asked !== null) this.inquiries.add(machine);
+      });
+    }
     const commands = trusted ? [...this.commander.standing(machine), ...this.commander.forgets(machine)] : [];
     return { token: answerTokenOf(this.lease, machine), commands };
   }
--- a/src/coordination/watch.ts
+++ b/src/coordination/watch.ts
@@ -3,7 +3,7 @@
 import { type Micros, seconds } from "../transport/clock.js";
 import type { Commander } from "./commander.js";
 import type { BlockContext } from "./context.js";
-import { answersReach, isDeaf, isReached } from "./decisions/reach.js";
+import { answersReach, commandsReach, isDeaf, isReached } from "./decisions/reach.js";
 import type { Observer } from "./observer.js";
 import type { Rental } from "./rental.js";
 import type { Silences } from "./silence-record.js";
@@ -18,6 +18,8 @@
 const PROBE_AGAIN = seconds(4);
 /** Of the machines, so many are given up within a worker's lease because nothing gets to them. */
 const GIVE_UP_SHARE = 0.1;
+/** Two questions to a zone without an answer. */
+const UNREACHED_AFTER = seconds(3.6);
 /** A zone counts as cut off when so many reports of it are missing, and not before this time. */
 const CUT_REPORTS = 8;
 const CUT_LEAST = seconds(1.5);
@@ -51,6 +53,8 @@
   private readonly from: Micros;
   /** When machines were given up because nothing gets to them. */
   private givenUp: Micros[] = [];
+  /** By zone, since when questions there have had no answer, and when one was last asked. */
+  private readonly controls = new Map<string, { readonly since: Micros; readonly at: Micros }>();
 
   constructor(private readonly around: WatchAround) {
     this.from = around.context.clock.now();
@@ -110,6 +114,8 @@
       return;
     }
     let probes = 0;
+    /** Zones in which somebody is being asked. */
+    const asked = new Set<string>();
     // Those that are heard and do not answer are asked again and again: by that they are taken back.
     const unsure = up.filter(({ reach, lastHeard }) => reach.unanswered > 0 && now - lastHeard <= limit);
     for (const machine of unsure) {
@@ -117,6 +123,7 @@
       if (now - machine.probed < (isReached(machine.reach) ? PROBE_TIME : PROBE_AGAIN)) continue;
       probes += 1;
       machine.probed = now;
+      asked.add(machine.zone);
       void this.around.guard(this.around.commander.send(machine, true));
     }
     for (const machine of silent) {
@@ -124,20 +131,24 @@
       if (machine.probed < machine.lastHeard) {
         probes += 1;
         machine.probed = now;
+        asked.add(machine.zone);
         const probe =
           machine.session === null ? this.around.commander.inquire(machine) : this.around.commander.send(machine, true);
         void this.around.guard(probe);
       }
     }
+    const unanswered = this.control(up, asked);
     // Where nobody at all has been heard since it was asked, the silence may be ours: with six machines one was given up
     // 3.6 s into a cut from all of them, before the cut was noticed.
-    const dead = silent.filter(({ probed, lastHeard }) => {
-      return probed >= lastHeard && now - probed > PROBE_TIME && (up.length < 3 || newest > probed);
+    const dead = silent.filter(({ probed, lastHeard, zone }) => {
+      if (probed < lastHeard || now - probed <= PROBE_TIME) return false;
+      return up.length < FEWEST || (newest > probed && !unanswered.has(zone));
     });
     const silentZones = this.cutZones(up, limit);
     this.around.silences.cut(silentZones);
     // On record as not answered only where nobody is: from where nothing gets to, reports go on coming.
-    const zones = new Set([...silentZones, ...this.unreachedZones(up, new Set(dead))]);
+    const zones = new Set([...silentZones, ...this.unreachedZones(up, new Set(dead)), ...this.notReached()]);
+    if (this.nothingReaches(up)) return;
     this.around.rental.cutZones = zones;
     this.unreached(up, zones);
     // When most are silent, or the state service is, too, the fault is more likely on our side. Those that have not
@@ -157,6 +168,52 @@
     void this.around.guard(this.around.rental.remove(lost));
   }
 
+  /**
+   * A machine that does not answer says nothing while nobody else in its zone is known to: with each machine that is asked for
+   * its silence, one that is heard is asked as well. All seven machines of a site whose reports came while nothing got
+   * to them were given up one after the other. Returns the zones in which such questions are still open.
+   */
+  private control(up: readonly Machine[], asked: ReadonlySet<string>): ReadonlySet<string> {
+    const { clock } = this.around.context;
+    const now = clock.now();
+    const latest = new Map<string, { answeredAt: number; heard: Machine; count: number }>();
+    for (const machine of up) {
+      const known = latest.get(machine.zone) ?? { answeredAt: 0, heard: machine, count: 0 };
+      known.answeredAt = Math.max(known.answeredAt, machine.reach.answeredAt);
+      if (machine.lastHeard > known.heard.lastHeard) known.heard = machine;
+      known.count += 1;
+      latest.set(machine.zone, known);
+    }
+    for (const [zone, { answeredAt, heard, count }] of latest) {
+      const open = this.controls.get(zone);
+      if (open !== undefined && answeredAt > open.since) this.controls.delete(zone);
+      else if ((open !== undefined && now - open.at > PROBE_TIME) || (open === undefined && asked.has(zone))) {
+        // With fewer machines there is nobody to compare with.
+        if (count < FEWEST) continue;
+        this.controls.set(zone, { since: open?.since ?? now, at: now });
+        void this.around.guard(this.around.commander.send(heard, true));
+      }
+    }
+    for (const zone of this.controls.keys()) if (!latest.has(zone)) this.controls.delete(zone);
+    return new Set(this.controls.keys());
+  }
+
+  /** Zones of which nobody has answered several questions, whatever is heard from there. */
+  private notReached(): readonly string[] {
+    const now = this.around.context.clock.now();
+    return [...this.controls].filter(([, { since }]) => now - since > UNREACHED_AFTER).map(([zone]) => zone);
+  }
+
+  /** Not one zone of several machines is reached: another controller may reach them. */
+  private nothingReaches(up: readonly Machine[]): boolean {
+    const zones = new Set(this.notReached());
+    if (zones.size === 0 || up.some(({ zone }) => !zones.has(zone))) return false;
+    const { log } = this.around.context;
+    log.info("machines heard, none reached: handing over", { machines: up.length });
+    void this.around.guard(this.around.onDeaf());
+    return true;
+  }
+
   /**
    * Machines that are heard and that nothing gets to, or whose leases nothing renews: deleting them is the fast proof that
    * their tasks are gone. Where many go at once it is a cut and no fault of theirs: the rest keeps what it runs until the
@@ -168,7 +225,9 @@
     // Other ways to them may open meanwhile, and reports that come by those show the answers' effect.
     const stands = settings.workers.report * LONGEST_REPORT + REPORT_PATIENCE + NEXT_NODE;
     const lost = up.filter(({ reach, unreachedSince }) => {
-      return unreachedSince !== null && now - unreachedSince > stands && (isDeaf(reach) || !answersReach(reach));
+      if (unreachedSince === null || (!isDeaf(reach) && answersReach(reach))) return false;
+      // Where questions are answered that showed it, there is nothing to wait for.
+      return commandsReach(reach) || now - unreachedSince > stands;
     });
     if (lost.length === 0) return;
     if (lost.length > Math.max(2, up.length * OWN_SHARE)) {
--- a/test/evidence.test.ts
+++ b/test/evidence.test.ts
@@ -60,6 +60,18 @@
   assert.notEqual(unready(machine, picture), null);
 });
 
+test("a worker first reached in a session that reports had named before has a whole lease from then on", () => {
+  // Heard and not reached for most of a lease, its session had turned; the session was known from what proved nothing, and
+  // what had been started in it was called lost a second later and started elsewhere.
+  const { machine, observer, world, context } = scene();
+  unknown(machine);
+  observer.observe(machine, report({ session: 2, sequence: 5, token: 7 }), REPORT);
+  world.now += 19_000_000;
+  const answer = { kind: "answer", askedAt: context.clock.now() } as const;
+  assert.equal(observer.observe(machine, report({ session: 2, sequence: 9, token: 7 }), answer), "timely");
+  assert.equal(machine.leaseBase, context.clock.now());
+});
+
 test("a late copy that finds newer evidence changes nothing", () => {
   const { machine, observer } = scene();
   observer.observe(machine, report({ session: 2, sequence: 40 }), REPORT);
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -146,3 +146,26 @@
     assert.ok(cluster.checker.starts > 40);
   }
 });
+
+test("with all machines heard and none reached, they are not given up one after the other", async () => {
+  // Each was found silent in its turn and did not answer; six of seven were deleted, with all that they ran.
+  for (const mesh of [false, true]) {
+    const cluster = await night(mesh, (c) => c.site.deafen(busy(c, 99), 14 * S, ["requests", "answers"]));
+    const before = cluster.log.length;
+    await cluster.run(14 * S);
+    const given = cluster.log.slice(before).filter((line) => / machines (silent|given up)/.test(line));
+    assert.deepEqual(given, []);
+    await cluster.run(150 * S);
+    settled(cluster);
+  }
+});
+
+test("a machine that only answers do not reach is noticed with its second report here, and its work goes on elsewhere", async () => {
+  const cluster = await night(false, (c) => c.site.deafen(busy(c, 1), 200 * S, ["answers"]));
+  await cluster.run(60 * S);
+  const noticed = cluster.log.find((line) => line.includes("machine heard, not reached"));
+  assert.match(noticed ?? "", /"commands":true,"answers":false/);
+  // A report to each of the three controllers, each given up after four seconds, with a second between them.
+  assert.ok(Number(noticed?.split(" ")[0]) < 60 + 20, noticed);
+  assert.deepEqual(cluster.missingReplicas(), []);
+});
