--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -11,14 +11,16 @@
   readJob,
   readRange,
 } from "../bookkeeping/records.js";
+import { gapFor } from "../bookkeeping/view.js";
 import type { MachineType } from "../protocol/cloud.js";
 import { formatJson, Malformed, parseJson } from "../protocol/json.js";
 import type { Entry } from "../protocol/state.js";
 import { isJobId, type JobPhase, type JobSpec, phaseAnswer, readSubmission, statusAnswer } from "../protocol/user.js";
-import { ms, seconds } from "../transport/clock.js";
+import { type Micros, ms, seconds } from "../transport/clock.js";
 import type { Request, Response } from "../transport/http.js";
 import type { Services } from "./context.js";
 import { neverRuns } from "./decisions/eligibility.js";
+import { Lookups } from "./lookups.js";
 
 const REMEMBERED_ENDS = 5_000;
 /** A view older than this cannot be counted on for answers: say so to the load balancer. */
@@ -31,6 +33,10 @@
 /** Users give up after a minute in all, so nobody is told to stay away for long. */
 const MOST_WAIT = seconds(10);
 const OVERLOAD_WAIT_S = 5;
+const FULL_GAP = seconds(5);
+const MOST_CLASSES = 64;
+/** Of the state service's requests, all controllers together spend this share on looking up what has ended. */
+const LOOKUP_SHARE = 0.15;
 
 const answer = (status: number, body: unknown): Response => ({ status, body: formatJson(body) });
 const comeBack = (why: string, inS = 1): Response => ({
@@ -59,6 +65,9 @@
   private readonly ends = new Map<string, EndRecord>();
   /** Of ranges as they stand in the view; gone with the entry itself. */
   private readonly counts = new WeakMap<Entry, { readonly done: number; readonly running: number }>();
+  private readonly lookups: Lookups;
+  /** By class, when a job of it was last taken although there was room for none. */
+  private readonly takenFull = new Map<string, Micros>();
   /** Up to when those turned away have been told to come back. */
   private promisedUntil = 0;
 
@@ -66,7 +75,11 @@
     private readonly services: Services,
     private readonly types: ReadonlyMap<string, MachineType>,
     private readonly holder: Holder,
-  ) {}
+  ) {
+    const { store, clock, log, settings } = services;
+    const gap = gapFor(LOOKUP_SHARE, settings.state.rps, settings.controllers);
+    this.lookups = new Lookups(store, clock, log, gap, (id, entry) => this.remember(id, readEnd(entry.value)));
+  }
 
   async handle(request: Request): Promise<Response> {
     const path = request.target.split("?")[0] ?? "";
@@ -117,6 +130,19 @@
     return comeBack("busy", Math.ceil(wait / 1_000_000));
   }
 
+  /** Where nothing more can be taken, one job of each class every few seconds still is: else a class could come away with none. */
+  private takenAllTheSame(jobClass: string): boolean {
+    const now = this.services.clock.now();
+    const last = this.takenFull.get(jobClass);
+    if (last !== undefined && now - last < FULL_GAP) return false;
+    // Too many classes to tell apart: those that come last share one turn.
+    const key = last !== undefined || this.takenFull.size < MOST_CLASSES ? jobClass : "";
+    const shared = this.takenFull.get(key);
+    if (shared !== undefined && now - shared < FULL_GAP) return false;
+    this.takenFull.set(key, now);
+    return true;
+  }
+
   private async submit(body: string): Promise<Response> {
     const { committer, view, overload } = this.services;
     let spec: JobSpec;
@@ -135,9 +161,8 @@
     if (body.length > valueBytes / 2 && formatJson(spec).length + RECORD_BYTES > valueBytes) {
       return answer(400, { error: "job: too large" });
     }
-    if (overload.atLeast("full") || view.entries.has(fullKey(homeBlock(spec.team)))) {
-      return comeBack("overloaded", OVERLOAD_WAIT_S);
-    }
+    const full = overload.atLeast("full") || view.entries.has(fullKey(homeBlock(spec.team)));
+    if (full && !this.takenAllTheSame(spec.jobClass)) return comeBack("overloaded", OVERLOAD_WAIT_S);
     if (committer.backlog > MAX_BACKLOG) return this.appointment();
     const record: JobRecord = { spec, block: homeBlock(spec.team), cancelled: false };
     const key = jobKey(spec.id);
@@ -162,18 +187,16 @@
 
   /** No older than the question: what any controller has told anybody before is known to the answer. */
   private async find(id: string): Promise<Found> {
-    const { view, store } = this.services;
+    const { view } = this.services;
     const known = this.ends.get(id);
     if (known !== undefined) return { kind: "ended", end: known };
     if (!(await view.sync())) return { kind: "unknown" };
     const entry = view.entries.get(jobKey(id));
     if (entry !== undefined) return { kind: "current", entry };
-    const reply = await store.get(endKey(id));
+    const reply = await this.lookups.find(id);
     if (reply.kind === "missing") return { kind: "never" };
     if (reply.kind !== "ok") return { kind: "unknown" };
-    const end = readEnd(reply.value.value);
-    this.remember(id, end);
-    return { kind: "ended", end };
+    return { kind: "ended", end: readEnd(reply.value.value) };
   }
 
   private remember(id: string, end: EndRecord): void {
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import { json, S } from "../src/model/index.js";
 import type { Request, Response } from "../src/transport/http.js";
-import { BrokenRule, type Rule } from "./sim/checker.js";
-import { Cluster, plainJob, type Submission } from "./sim/cluster.js";
+import { BrokenRule, Checker, type Rule } from "./sim/checker.js";
+import { Cluster, plainJob, type Submission, trueJob } from "./sim/cluster.js";
 
 type Tamper = (from: string, to: string, request: Request, response: Response) => Response;
 
@@ -123,3 +123,60 @@
     assert.equal(rule, expected);
   }
 });
+
+test("the checker sees a job of which nothing is heard for 75 s of calm, however others fare", async () => {
+  const silence = async (calm: boolean): Promise<Rule | null> =>
+    brokenDay((cluster) => {
+      // Nobody is answered, so that no job fares worse than the others.
+      cluster.network.tamper = answering(
+        (request) => isPoll(request) && cluster.world.now > 40 * S,
+        () => json(503, {}),
+      );
+      for (let at = 1; at < 5; at += 1) cluster.submit(plainJob(`wk-00000${at}`), { runUs: 300 * S });
+      if (calm)
+        cluster.world.at(50 * S, () => {
+          cluster.checker.calmFrom = cluster.world.now;
+        });
+    });
+  assert.equal(await silence(true), "forgotten");
+  // While something troubles the site, that nobody is answered is no broken rule.
+  assert.equal(await silence(false), null);
+});
+
+/** Jobs of one class that a service serves or not, told to the checker directly. */
+const servedDay = (begins: (at: number) => number | null): Checker => {
+  let now = 0;
+  const checker = new Checker(() => now, new Map(), 45 * S);
+  for (let at = 0; at < 20; at += 1) {
+    const job = plainJob(`wk-${String(at).padStart(6, "0")}`, { shards: at < 18 ? 1 : 50 });
+    checker.jobs.set(job.ref, trueJob(job));
+    checker.submitted(job.ref, 201, "pending");
+  }
+  for (now = S; now < 400 * S; now += S) {
+    for (let at = 0; at < 20; at += 1) {
+      if (begins(at) !== now / S) continue;
+      const id = `wk-${String(at).padStart(6, "0")}`;
+      for (let task = 0; task < (at < 18 ? 1 : 50); task += 1) {
+        const machine = { name: `n-${task}`, type: "big", zone: "east", spot: false };
+        checker.taskOn(`${id}/${task}`, machine);
+        checker.taskDone(`${id}/${task}`);
+        checker.taskOff(`${id}/${task}`, machine);
+      }
+    }
+    checker.tick();
+  }
+  return checker;
+};
+
+test("the checker sees the largest jobs of a class come away with too little, or begin too late", () => {
+  assert.deepEqual(servedDay(() => 10).starved(), []);
+  assert.deepEqual(servedDay(() => 10).lateLargest(), []);
+  // A service that never gets to what is large: of the class as a whole nine tenths are served.
+  const passed = servedDay((at) => (at < 18 ? 10 : null));
+  assert.deepEqual(passed.starved(), ["largest of batch"]);
+  assert.deepEqual(passed.lateLargest(), ["wk-000018", "wk-000019"]);
+  const late = servedDay((at) => (at < 18 ? 10 : 241));
+  assert.deepEqual(late.starved(), []);
+  assert.deepEqual(late.lateLargest(), ["wk-000018", "wk-000019"]);
+  assert.deepEqual(servedDay((at) => (at < 18 ? 10 : 239)).lateLargest(), []);
+});
--- a/test/polls.test.ts
+++ b/test/polls.test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { jobKey, rangeKey, writeRange } from "../src/bookkeeping/records.js";
+import type { Store } from "../src/bookkeeping/store.js";
 import type { Services } from "../src/coordination/context.js";
 import { FrontDoor } from "../src/coordination/front-door.js";
-import { S } from "../src/model/index.js";
+import { Lookups } from "../src/coordination/lookups.js";
+import { type Bounds, HostClock, MEASURED, S, World } from "../src/model/index.js";
 import type { Entry } from "../src/protocol/state.js";
 import { readSubmission } from "../src/protocol/user.js";
+import type { Micros } from "../src/transport/clock.js";
 import { Cluster, plainJob } from "./sim/cluster.js";
 
 test("a storm of questions takes no more than its share of the state service, and submissions go on at once", async () => {
@@ -69,7 +72,8 @@
     [rangeKey(job.ref, 0), range(2)],
     [rangeKey(job.ref, 1), range(3)],
   ]);
-  const services = { view: { entries, sync: async () => true }, settings: {} } as unknown as Services;
+  const settings = { state: { rps: 150 }, controllers: 3 };
+  const services = { view: { entries, sync: async () => true }, settings } as unknown as Services;
   const door = new FrontDoor(services, new Map(), { running: () => null, holds: () => false, withdrawn: () => false });
   const ask = async (): Promise<unknown> =>
     JSON.parse((await door.handle({ method: "GET", target: `/v2/runs/${job.ref}`, body: "" })).body);
@@ -81,3 +85,143 @@
   await ask();
   assert.equal(reads, 3);
 });
+
+const lookupsOn = (pages: () => boolean) => {
+  const world = new World();
+  const clock = new HostClock(world, 1, 0);
+  const ended = new Set<string>();
+  let requests = 0;
+  const wait = (): Promise<void> => new Promise((resolve) => world.after(5_000, resolve));
+  const entry = (key: string): Entry => ({ key, version: 1, value: { phase: "done", done: 1 } });
+  const store = {
+    get: async (key: string) => {
+      requests += 1;
+      await wait();
+      if (!pages()) return { kind: "refused" };
+      return ended.has(key) ? { kind: "ok", value: entry(key) } : { kind: "missing" };
+    },
+    page: async (prefix: string, from: string, count: number) => {
+      requests += 1;
+      await wait();
+      if (!pages()) return { kind: "refused" };
+      const keys = [...ended].filter((key) => key.startsWith(prefix) && key > from).sort();
+      const entries = keys.slice(0, count).map(entry);
+      return { kind: "ok", value: { entries, more: keys.length > count, revision: 1 } };
+    },
+  } as unknown as Store;
+  const learnt = new Set<string>();
+  const log = { error: () => undefined, info: () => undefined, debug: () => undefined };
+  const lookups = new Lookups(store, clock, log, 100_000 as Micros, (id) => learnt.add(id));
+  return { world, ended, lookups, learnt, requests: () => requests };
+};
+
+test("whoever asks about an ended job is answered in the order of asking, within a share of the requests", async () => {
+  const { world, ended, lookups, learnt, requests } = lookupsOn(() => true);
+  for (let at = 0; at < 4_000; at += 1) ended.add(`e/wk-${String(at).padStart(6, "0")}`);
+  const answers = new Map<string, string>();
+  const ask = (id: string): void => {
+    void lookups.find(id).then(({ kind }) => answers.set(id, kind));
+  };
+  // 20 a second, among them some that nobody submitted, each asked again and again until it is answered.
+  const asked: string[] = [];
+  for (let at = 0; at < 400; at += 1) {
+    const id = `wk-${String(at % 10 === 9 ? 900_000 + at : at * 9).padStart(6, "0")}`;
+    asked.push(id);
+    const again = (): void => {
+      if (answers.get(id) === "ok" || answers.get(id) === "missing") return;
+      ask(id);
+      world.after(5 * S, again);
+    };
+    world.at(at * 50_000, again);
+  }
+  await world.run(60 * S, () => undefined);
+  for (const id of asked) assert.equal(answers.get(id), id >= "wk-900000" ? "missing" : "ok", id);
+  assert.ok(requests() < 600, `${requests()} requests in a minute`);
+  assert.ok(learnt.size >= 360);
+});
+
+test("a lookup that failed is answered as unknown, and the next one is a new one", async () => {
+  let good = false;
+  const { world, ended, lookups } = lookupsOn(() => good);
+  ended.add("e/wk-1");
+  const kinds: string[] = [];
+  void lookups.find("wk-1").then(({ kind }) => kinds.push(kind));
+  await world.run(S, () => undefined);
+  good = true;
+  void lookups.find("wk-1").then(({ kind }) => kinds.push(kind));
+  void lookups.find("wk-2").then(({ kind }) => kinds.push(kind));
+  await world.run(2 * S, () => undefined);
+  assert.deepEqual(kinds, ["unknown", "ok", "missing"]);
+});
+
+test("a storm of questions about jobs that nobody submitted does not cost the holder its right", async () => {
+  // Each was a request of its own beside the watch, which waited its turn among them.
+  const cluster = new Cluster(43);
+  for (let at = 0; at < 10; at += 1) {
+    cluster.submit(plainJob(`wk-00000${at}`, { shards: 2, cpus: 1 }), { runUs: 20 * S });
+  }
+  await cluster.run(30 * S);
+  for (let at = 0; at < 12_000; at += 1) {
+    cluster.world.after(at * 2_500, () => cluster.users.askOnce(`wk-${900_000 + at}`));
+  }
+  for (let at = 10; at < 20; at += 1) {
+    cluster.world.after(10 * S, () =>
+      cluster.submit(plainJob(`wk-0000${at}`, { shards: 2, cpus: 1 }), { runUs: 5 * S }),
+    );
+  }
+  await cluster.run(30 * S);
+  assert.equal(cluster.logged("lease run out"), false);
+  cluster.checker.calmFrom = cluster.world.now;
+  await cluster.run(90 * S);
+  assert.deepEqual(cluster.unfinished(), []);
+});
+
+/** Controllers with few connections and a processor that is behind for seconds in a storm. */
+const SMALL: Bounds = {
+  cpuShare: 0.02,
+  maxConnections: 30,
+  keepConnections: 12,
+  memoryBytes: 1e9,
+  sheds: true,
+  costs: MEASURED,
+};
+
+const STORMS: Readonly<Record<string, (cluster: Cluster) => void>> = {
+  "by itself": () => undefined,
+  "with a takeover": (cluster) => cluster.crash(cluster.holder(), 15 * S),
+  "with a restart of all": (cluster) => {
+    for (const at of [0, 1, 2]) cluster.crash(at);
+  },
+  "with a state outage": (cluster) => cluster.state.outage(15 * S),
+};
+
+for (const [beside, trouble] of Object.entries(STORMS)) {
+  test(`after a storm of questions, ${beside}, no job is without an answer for long`, async () => {
+    const cluster = new Cluster(44, { mesh: true }, undefined, SMALL);
+    const refs = Array.from({ length: 60 }, (_, at) => `wk-0000${String(at).padStart(2, "0")}`);
+    for (const [at, ref] of refs.entries()) {
+      cluster.world.at((1 + at / 4) * S, () =>
+        cluster.submit(plainJob(ref, { shards: 1, cpus: 1 }), { runUs: 60 * S }),
+      );
+    }
+    await cluster.run(40 * S);
+    // Some times what these controllers can answer; what has come in is worked off even if nobody waits for it any more.
+    for (let at = 0; at < 12_000; at += 1) {
+      cluster.world.after(at * 2_500, () => cluster.users.askOnce(cluster.random.pick(refs)));
+    }
+    cluster.world.after(8 * S, () => trouble(cluster));
+    await cluster.run(30 * S);
+    cluster.checker.calmFrom = cluster.world.now;
+    const from = cluster.world.now;
+    for (const [at, ref] of refs.entries()) cluster.world.after(at * 80_000, () => cluster.users.keepAsking(ref));
+    // Far less than the 75 s after which a job counts as forgotten.
+    await cluster.run(40 * S);
+    const accepted = cluster.checker.accepted();
+    assert.ok(accepted.length > 40, `${accepted.length} accepted`);
+    for (const ref of accepted) {
+      assert.ok(cluster.checker.answeredAt(ref) > from, `${ref}: no answer within 40 s`);
+    }
+    await cluster.run(150 * S);
+    assert.deepEqual(cluster.unfinished(), []);
+  });
+}
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -320,6 +320,11 @@
     return [...this.served()].filter(([, { done }]) => done < 0.5).map(([name]) => name);
   }
 
+  /** When a question about it was last answered. */
+  answeredAt(id: string): number {
+    return this.state(id).lastGood;
+  }
+
   accepted(): string[] {
     return [...this.told].filter(([, told]) => told.accepted).map(([id]) => id);
   }
