--- a/src/client.ts
+++ b/src/client.ts
@@ -62,5 +62,9 @@
 export const showJob = async (server: string, id: string): Promise<string> =>
   ask(server, { method: "GET", target: jobPath(id), body: "" });
 
+/** How things stand with this controller: its links, and its machines where it holds them. */
+export const showLinks = async (server: string): Promise<string> =>
+  ask(server, { method: "GET", target: "/links", body: "" });
+
 export const abortJob = async (server: string, id: string): Promise<string> =>
   ask(server, { method: "POST", target: jobPath(id, "/abort"), body: "" });
--- /dev/null
+++ b/src/commands/links.ts
@@ -0,0 +1,58 @@
+import { table } from "./cli.js";
+
+const WORDS: Readonly<Record<string, string>> = {
+  state: "state service",
+  cloud: "cloud",
+  workers: "workers",
+};
+
+const asRecord = (value: unknown): Readonly<Record<string, unknown>> =>
+  typeof value === "object" && value !== null ? (value as Readonly<Record<string, unknown>>) : {};
+
+const names = (value: unknown): string => {
+  const list = Array.isArray(value) ? value.map(String) : [];
+  const shown = list.slice(0, 5).join(", ");
+  return list.length > 5 ? `${shown} and ${list.length - 5} more` : shown;
+};
+
+/** One line for each trouble that a controller names in its answer to `/links`; none where all is well. */
+export const troublesIn = (answer: unknown): readonly string[] => {
+  const links = asRecord(answer);
+  const lines: string[] = [];
+  for (const target of ["state", "cloud"]) {
+    const standing = links[target];
+    if (typeof standing === "string" && standing !== "reached" && standing !== "not asked yet") {
+      lines.push(`${WORDS[target]}: ${standing}`);
+    }
+  }
+  if (links.workers === "cut off from me") lines.push("workers: their reports come through another controller");
+  for (const [label, standing] of Object.entries(asRecord(links.siblings))) {
+    if (standing !== "reached") lines.push(`controller ${label}: ${String(standing)}`);
+  }
+  if (links.machines === null || links.machines === undefined) return lines;
+  const machines = asRecord(links.machines);
+  if (machines.mayAct === false)
+    lines.push("holds the machines without the right to act: no word of the state service");
+  const say = (key: string, text: string): void => {
+    const list = names(machines[key]);
+    if (list !== "") lines.push(`${text}: ${list}`);
+  };
+  say("heardNotReached", "machines heard, but not reached");
+  say("silent", "machines silent");
+  say("zonesCut", "zones cut off");
+  if (typeof machines.roomKeptFor === "string") lines.push(`room that comes free is kept for ${machines.roomKeptFor}`);
+  return lines;
+};
+
+/** How things stand with one controller, as a table and the troubles below it. */
+export const linksText = (answer: unknown): string => {
+  const links = asRecord(answer);
+  const rows = ["state", "cloud", "workers"].flatMap((key) =>
+    typeof links[key] === "string" ? [[WORDS[key] ?? key, String(links[key])]] : [],
+  );
+  for (const [label, standing] of Object.entries(asRecord(links.siblings))) rows.push([label, String(standing)]);
+  const { up } = asRecord(links.machines);
+  rows.push(["machines", typeof up === "number" ? `${up} up, held here` : "not held here"]);
+  const troubles = troublesIn(answer);
+  return [table(["link", "standing"], rows), "", ...(troubles.length === 0 ? ["no troubles"] : troubles)].join("\n");
+};
--- a/src/commands/site.ts
+++ b/src/commands/site.ts
@@ -1,5 +1,5 @@
 import type { Command } from "commander";
-import { CommandError, say } from "./cli.js";
+import { CommandError, DONE, REFUSED, say } from "./cli.js";
 import type { ServeFlags } from "./serving.js";
 
 const CONFIG = "settings of the platform (TOML)";
@@ -72,4 +72,25 @@
   );
   add("show", "job", "show a job's state", `rainridge show ${server} wk-000412`, (c) => c.showJob);
   add("abort", "job", "cancel a job", `rainridge abort ${server} wk-000412`, (c) => c.abortJob);
+  program
+    .command("links")
+    .description("show what a controller reaches, and what troubles it with its machines")
+    .requiredOption("--server <host:port>", "address of a controller")
+    .option("--json", "answer as JSON")
+    .addHelpText(
+      "after",
+      `\nExit status: 0 no troubles, 1 troubles or no answer.\n\nExample:\n  rainridge links ${server}`,
+    )
+    .action(async (flags: ClientFlags & { readonly json?: boolean }) => {
+      const [client, links] = await Promise.all([import("../client.js"), import("./links.js")]);
+      try {
+        const answer: unknown = JSON.parse(await client.showLinks(flags.server));
+        const troubles = links.troublesIn(answer);
+        say(flags.json === true ? JSON.stringify({ ...(answer as object), troubles }) : links.linksText(answer));
+        process.exit(troubles.length === 0 ? DONE : REFUSED);
+      } catch (error) {
+        if (error instanceof client.ClientError) throw new CommandError(error.message);
+        throw error;
+      }
+    });
 };
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -164,8 +164,9 @@
       if (request.method !== "POST") return { status: 405, body: "{}" };
       return (await this.carried(request)) ?? this.hello(request.body, null);
     }
-    if (request.target === "/links" && this.mesh !== null) {
-      return { status: 200, body: formatJson(this.mesh.table()) };
+    if (request.target === "/links") {
+      const machines = [...this.stewards.values()].map(({ standing }) => standing);
+      return { status: 200, body: formatJson({ ...(this.mesh?.table() ?? {}), machines: machines[0] ?? null }) };
     }
     return this.extension?.handle(request) ?? this.frontDoor.handle(request);
   }
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -80,6 +80,11 @@
     return summary(this.picture());
   }
 
+  /** The job for which room that comes free is kept, if there is one. */
+  get keepsFor(): string | null {
+    return this.memory.reservation?.job.spec.id ?? null;
+  }
+
   run(): void {
     if (!this.context.lease.valid()) return;
     const picture = this.picture(this.recordsLeft());
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -21,7 +21,7 @@
 import { Rental } from "./rental.js";
 import { Rounds } from "./rounds.js";
 import { Silences } from "./silence-record.js";
-import { Watch } from "./watch.js";
+import { type MachineTroubles, Watch } from "./watch.js";
 
 const TICK = ms(250);
 const REPORT: Origin = { kind: "report" };
@@ -203,6 +203,11 @@
     return machine.unprovenSince === null || clock.now() - machine.unprovenSince < settings.workers.lease / 2;
   }
 
+  /** How things stand with the machines, for people; `roomKeptFor`: the job for which room that comes free is kept. */
+  get standing(): MachineTroubles & { readonly mayAct: boolean; readonly roomKeptFor: string | null } {
+    return { ...this.watch.troubles(), mayAct: this.lease.valid(), roomKeptFor: this.rounds.keepsFor };
+  }
+
   /** Machines that have been heard of here. */
   get upMachines(): number {
     let count = 0;
--- a/src/coordination/watch.ts
+++ b/src/coordination/watch.ts
@@ -46,6 +46,13 @@
   readonly onDeaf: () => Promise<void>;
 }
 
+export interface MachineTroubles {
+  readonly up: number;
+  readonly heardNotReached: readonly string[];
+  readonly silent: readonly string[];
+  readonly zonesCut: readonly string[];
+}
+
 /** Finds machines, zones or all that have fallen silent or are not reached, and has them given up. */
 export class Watch {
   /** When workers were last able to reach us without a gap. */
@@ -61,6 +68,19 @@
     this.settledFrom = (this.from + SETTLE) as Micros;
   }
 
+  /** For people: machines that nothing gets to or that have fallen silent, and zones cut off as a whole. */
+  troubles(): MachineTroubles {
+    const { block, clock, settings, options } = this.around.context;
+    const late = clock.now() - settings.workers.report * options.silentReports;
+    const up = [...block.machines.values()].filter(({ state }) => state === "up");
+    return {
+      up: up.length,
+      heardNotReached: up.filter(({ reach }) => !isReached(reach)).map(({ name }) => name),
+      silent: up.filter(({ lastHeard }) => lastHeard < late).map(({ name }) => name),
+      zonesCut: [...this.around.rental.cutZones],
+    };
+  }
+
   /** After a gap of our own, everybody seems silent until what has arrived meanwhile is read. */
   settle(): void {
     this.settledFrom = Math.max(this.settledFrom, this.around.context.clock.now() + SETTLE) as Micros;
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { S } from "../src/model/index.js";
+import { troublesIn } from "../src/commands/links.js";
+import { HostClock, S } from "../src/model/index.js";
+import type { Micros } from "../src/transport/clock.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
 
@@ -169,3 +171,29 @@
   assert.ok(Number(noticed?.split(" ")[0]) < 60 + 20, noticed);
   assert.deepEqual(cluster.missingReplicas(), []);
 });
+
+test("each trouble is one line for the operator, and none is left when it is over", async () => {
+  const troubles = async (cluster: Cluster): Promise<string> => {
+    const asked = cluster.network
+      .client("user", new HostClock(cluster.world, 1, 0))
+      .call(cluster.site.nodeAddress(cluster.holder()), { method: "GET", target: "/links", body: "" }, S as Micros);
+    await cluster.run(S / 2);
+    const outcome = await asked;
+    return outcome.kind === "answer" ? troublesIn(JSON.parse(outcome.body)).join("; ") : outcome.kind;
+  };
+  const cases: readonly (readonly [Trouble, number, RegExp])[] = [
+    [(c) => c.site.deafen(busy(c, 1), 200 * S, ["answers"]), 17, /machines heard, but not reached: n-\d+$/],
+    [(c) => c.site.deafen(busy(c, 99), 40 * S, ["requests"]), 9, /machines heard, but not reached: n-\d+/],
+    [(c) => c.site.cutZone("west", 30 * S, "hold"), 9, /zones cut off: west/],
+    [(c) => c.site.cutFromState(c.holder(), 20 * S, "reset"), 5, /state service: away for me only/],
+    [(c) => c.state.refuse(c.site.nodeAddress(c.holder()), 20 * S), 5, /state service: refused to me/],
+    [(c) => c.state.outage(20 * S), 15, /without the right to act/],
+  ];
+  for (const [trouble, afterS, expected] of cases) {
+    const cluster = await night(true, trouble);
+    await cluster.run(afterS * S);
+    assert.match(await troubles(cluster), expected);
+    await cluster.run(120 * S);
+    assert.equal(await troubles(cluster), "");
+  }
+});
