--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -292,6 +292,14 @@
     this.network.lose({ from, to: (address) => addresses.has(address), swallows }, forUs);
   }
 
+  /** The same for all machines, those that come up meanwhile included. */
+  deafenAll(forUs: number, swallows: readonly Swallowed[]): void {
+    const { controllers, state, cloud } = this.addresses;
+    const others = new Set([...controllers, state, cloud, "user"]);
+    const from = (address: string): boolean => this.isNode(address);
+    this.network.lose({ from, to: (address) => !others.has(address), swallows }, forUs);
+  }
+
   /** Reports come once more, at any controller, up to so long after they were sent. */
   copyReports(chance: number, mostLateUs: number, forUs: number): void {
     this.network.copies = {
