--- a/src/coordination/decisions/reach.ts
+++ b/src/coordination/decisions/reach.ts
@@ -9,7 +9,7 @@
   asked: Whole | null;
   /** Reports in a row that did not show it, though the answer to the one before had it. */
   unseen: number;
-  /** When it was first in an answer; null: in none yet. */
+  /** When it was last in an answer; null: in none yet. */
   toldAt: Micros | null;
   /** When a question or command was last answered. */
   answeredAt: Micros;
@@ -27,9 +27,15 @@
 
 /** An answer that was on its way when the question left may get there a little later. */
 const ON_ITS_WAY = seconds(0.7);
+const RECENT = seconds(2.5);
 
 /** A question or command has been answered. */
 export const heardBack = (reach: Reach, now: Micros): void => {
+  // Whatever was missed while nothing got there says nothing of now: machines were given up for it once a cut was over.
+  if (!commandsReach(reach)) {
+    reach.unseen = 0;
+    reach.toldAt = null;
+  }
   reach.unanswered = 0;
   reach.answeredAt = now;
 };
@@ -38,7 +44,9 @@
 export const questionCame = (reach: Reach, token: Whole, askedAt: Micros): void => {
   if (reach.asked === null || reach.toldAt === null) return;
   if (token >= reach.asked) seen(reach);
-  else if (askedAt - reach.toldAt > ON_ITS_WAY) reach.unseen = Math.max(reach.unseen, TOO_MANY);
+  // Of an answer of long before it says nothing: that may have been lost in a cut that is over.
+  else if (askedAt - reach.toldAt > ON_ITS_WAY && askedAt - reach.toldAt < RECENT)
+    reach.unseen = Math.max(reach.unseen, TOO_MANY);
 };
 
 const seen = (reach: Reach): void => {
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -180,7 +180,7 @@
     machine.leaseBase = clock.now();
     machine.leaseOver = false;
     const { reach } = machine;
-    if (reach.asked !== null && reach.toldAt === null) {
+    if (reach.asked !== null) {
       reach.toldAt = clock.now();
       // Seen a moment later whether it got there, instead of with a report that may come a quarter of a lease later.
       clock.after(VERIFY_AFTER, () => {
--- a/src/coordination/watch.ts
+++ b/src/coordination/watch.ts
@@ -244,10 +244,13 @@
     const now = clock.now();
     // Other ways to them may open meanwhile, and reports that come by those show the answers' effect.
     const stands = settings.workers.report * LONGEST_REPORT + REPORT_PATIENCE + NEXT_NODE;
-    const lost = up.filter(({ reach, unreachedSince }) => {
+    const lost = up.filter(({ reach, unreachedSince, probed }) => {
       if (unreachedSince === null || (!isDeaf(reach) && answersReach(reach))) return false;
       // Where questions are answered that showed it, there is nothing to wait for.
-      return commandsReach(reach) || now - unreachedSince > stands;
+      if (commandsReach(reach)) return true;
+      // And not without a question of just now: after a pause of watching, the first look found what a cut had left behind.
+      const asked = now - probed;
+      return now - unreachedSince > stands && asked > PROBE_TIME && asked < 2 * PROBE_AGAIN;
     });
     if (lost.length === 0) return;
     if (lost.length > Math.max(2, up.length * OWN_SHARE)) {
--- a/test/evidence.test.ts
+++ b/test/evidence.test.ts
@@ -6,6 +6,7 @@
 import { unready } from "../src/coordination/decisions/eligibility.js";
 import { type Known, maybeOvertaken, type Said, weigh } from "../src/coordination/decisions/evidence.js";
 import type { Picture } from "../src/coordination/decisions/picture.js";
+import { answersReach, heardBack, isDeaf, reportCame } from "../src/coordination/decisions/reach.js";
 import { Observer } from "../src/coordination/observer.js";
 import { json } from "../src/model/index.js";
 import type { Report, TaskReport } from "../src/protocol/worker.js";
@@ -72,6 +73,24 @@
   assert.equal(machine.leaseBase, context.clock.now());
 });
 
+test("what was missed while nothing got to a machine is not held against it once it answers again", () => {
+  const { machine } = scene();
+  const { reach } = machine;
+  Object.assign(reach, { unanswered: 3, asked: TOKEN + 1, toldAt: 5 as Micros });
+  for (let lost = 0; lost < 3; lost += 1) reportCame(reach, TOKEN, true);
+  assert.equal(isDeaf(reach), true);
+  heardBack(reach, 10 as Micros);
+  // Its answers have yet to be seen, but it is neither deaf nor to be given up: it was, ten seconds after a cut.
+  assert.equal(isDeaf(reach), false);
+  assert.equal(answersReach(reach), true);
+  // Where questions are answered all the time, reports without the token go on counting.
+  reportCame(reach, TOKEN, true);
+  reach.toldAt = 11 as Micros;
+  for (let lost = 0; lost < 2; lost += 1) reportCame(reach, TOKEN, true);
+  heardBack(reach, 20 as Micros);
+  assert.equal(answersReach(reach), false);
+});
+
 test("a late copy that finds newer evidence changes nothing", () => {
   const { machine, observer } = scene();
   observer.observe(machine, report({ session: 2, sequence: 40 }), REPORT);
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -159,6 +159,12 @@
     await cluster.run(150 * S);
     settled(cluster);
   }
+  // Longer than the leases: once it was over, two were given up for what had been missed.
+  const cluster = await night(true, (c) => c.site.deafenAll(30 * S, ["requests", "answers"]));
+  const before = cluster.log.length;
+  await cluster.run(100 * S);
+  const given = cluster.log.slice(before).filter((line) => / machines (silent|given up)/.test(line));
+  assert.deepEqual(given, []);
 });
 
 test("a machine that only answers do not reach is noticed with its second report here, and its work goes on elsewhere", async () => {
