--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -8,6 +8,20 @@
 /** Why a machine takes no more tasks. */
 export type Drain = "returning" | "notice" | "faulty";
 
+/** Whether what is sent to a worker gets there, told from effects alone; kept with the machine (decisions/reach.ts). */
+export interface Reach {
+  /** Commands and questions in a row that got no answer. */
+  unanswered: number;
+  /** A token that answers to reports alone carry, to see it come back; null: none is waited for. */
+  asked: Whole | null;
+  /** Reports in a row that did not show it, though the answer to the one before had it. */
+  unseen: number;
+  /** When it was last in an answer; null: in none yet. */
+  toldAt: Micros | null;
+  /** When a question or command was last answered. */
+  answeredAt: Micros;
+}
+
 export interface Machine {
   readonly name: string;
   /** Empty while the machine is only known by name. */
@@ -36,13 +50,7 @@
   /** Reports in a row that look older than what is known. */
   doubts: number;
   /** Questions and commands without an answer, and answers without an effect (decisions/reach.ts). */
-  readonly reach: {
-    unanswered: number;
-    asked: Whole | null;
-    unseen: number;
-    toldAt: Micros | null;
-    answeredAt: Micros;
-  };
+  readonly reach: Reach;
   /** It was said that the machine is heard and not reached. */
   unreachedSince: Micros | null;
   /** Raised whenever a command may still be under way that must not land later. */
--- a/src/coordination/decisions/reach.ts
+++ b/src/coordination/decisions/reach.ts
@@ -1,20 +1,7 @@
+import type { Reach } from "../../bookkeeping/picture.js";
 import type { Whole } from "../../protocol/json.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 
-/** Whether what is sent to a worker gets there, told from effects alone; kept with the machine. */
-export interface Reach {
-  /** Commands and questions in a row that got no answer. */
-  unanswered: number;
-  /** A token that answers to reports alone carry, to see it come back; null: none is waited for. */
-  asked: Whole | null;
-  /** Reports in a row that did not show it, though the answer to the one before had it. */
-  unseen: number;
-  /** When it was last in an answer; null: in none yet. */
-  toldAt: Micros | null;
-  /** When a question or command was last answered. */
-  answeredAt: Micros;
-}
-
 /** One may get lost on any network. */
 const TOO_MANY = 2;
 
--- a/src/coordination/decisions/reservation.ts
+++ b/src/coordination/decisions/reservation.ts
@@ -1,4 +1,4 @@
-import type { Job, Machine } from "../../bookkeeping/picture.js";
+import type { Job, Machine, Task } from "../../bookkeeping/picture.js";
 import type { Demand, JobSpec } from "../../protocol/user.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { howMany, minus, plus } from "../placement/bfgp.js";
@@ -54,24 +54,28 @@
 /** What it takes to begin, in thousandths of CPUs. */
 export const cpuToBegin = (spec: JobSpec): number => atOnce(spec) * spec.demand.cpu;
 
+/** When a task is expected to end, by its owner's estimate; null for replicas and where nothing is said of its time. */
+const endOf = ({ runningSince, job: { spec } }: Task, now: Micros): Micros | null => {
+  if (spec.shape === "service" || spec.estimateS <= 0) return null;
+  return Math.max((runningSince ?? now) + seconds(spec.estimateS), now + seconds(1)) as Micros;
+};
+
 /** When the machine will have room for a task of the job, as its tasks are expected to end; how many by then. */
 const roomAt = (machine: Machine, spec: JobSpec, all: boolean, now: Micros): { at: Micros; count: number } | null => {
   const { type } = machine;
   if (type === null) return null;
   let free: Demand = minus(type.capacity, machine.used);
   if (!all && howMany(spec.demand, free) > 0) return { at: now, count: 1 };
-  const ends: { at: number; demand: Demand }[] = [];
-  for (const { runningSince, job } of machine.tasks) {
-    // Replicas do not end, and of what says nothing of its time nothing is expected.
-    if (job.spec.shape === "service" || job.spec.estimateS <= 0) continue;
-    const end = (runningSince ?? now) + seconds(job.spec.estimateS);
-    ends.push({ at: Math.max(end, now + seconds(1)), demand: job.spec.demand });
+  const ends: { at: Micros; demand: Demand }[] = [];
+  for (const task of machine.tasks) {
+    const at = endOf(task, now);
+    if (at !== null) ends.push({ at, demand: task.job.spec.demand });
   }
   ends.sort((a, b) => a.at - b.at);
   let at = now;
   for (const end of ends) {
     free = plus(free, end.demand);
-    at = end.at as Micros;
+    at = end.at;
     if (!all && howMany(spec.demand, free) > 0) return { at, count: 1 };
   }
   const count = howMany(spec.demand, free);
@@ -82,13 +86,14 @@
 const limitFreeAt = ({ block, now, settings, work }: Picture, { spec }: Job): Micros | null => {
   const limit = settings.teams.get(spec.team)?.limit;
   if (limit === undefined) return now;
-  const ends: { at: number; cpu: number; gpu: number }[] = [];
+  const ends: { at: Micros; cpu: number; gpu: number }[] = [];
   for (const { spec: other, placed } of block.jobs.values()) {
-    if (other.team !== spec.team || other.shape === "service" || other.estimateS <= 0) continue;
+    if (other.team !== spec.team) continue;
     work.visited += placed.size;
     const { cpu, gpu } = other.demand;
-    for (const { runningSince } of placed) {
-      ends.push({ at: Math.max((runningSince ?? now) + seconds(other.estimateS), now + seconds(1)), cpu, gpu });
+    for (const task of placed) {
+      const at = endOf(task, now);
+      if (at !== null) ends.push({ at, cpu, gpu });
     }
   }
   ends.sort((a, b) => a.at - b.at);
@@ -100,7 +105,7 @@
   let at = now;
   for (const end of ends) {
     if (fits()) break;
-    at = end.at as Micros;
+    at = end.at;
     cpu -= end.cpu;
     gpu -= end.gpu;
   }
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -133,12 +133,10 @@
   /** Where nothing more can be taken, one job of each class every few seconds still is: else a class could come away with none. */
   private takenAllTheSame(jobClass: string): boolean {
     const now = this.services.clock.now();
-    const last = this.takenFull.get(jobClass);
-    if (last !== undefined && now - last < FULL_GAP) return false;
     // Too many classes to tell apart: those that come last share one turn.
-    const key = last !== undefined || this.takenFull.size < MOST_CLASSES ? jobClass : "";
-    const shared = this.takenFull.get(key);
-    if (shared !== undefined && now - shared < FULL_GAP) return false;
+    const key = this.takenFull.has(jobClass) || this.takenFull.size < MOST_CLASSES ? jobClass : "";
+    const last = this.takenFull.get(key);
+    if (last !== undefined && now - last < FULL_GAP) return false;
     this.takenFull.set(key, now);
     return true;
   }
--- a/test/block-fixtures.ts
+++ b/test/block-fixtures.ts
@@ -8,6 +8,7 @@
 import { HostClock, World } from "../src/model/index.js";
 import { readTypes } from "../src/protocol/cloud.js";
 import type { JobSpec } from "../src/protocol/user.js";
+import type { Report } from "../src/protocol/worker.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import { parseSettings } from "../src/settings/settings.js";
 import type { Outcome } from "../src/transport/http.js";
@@ -99,3 +100,20 @@
   task.durable = task.want;
   return task;
 };
+
+/** What the first machine of a block says, but for the given fields. */
+export const report = (fields: Partial<Report> = {}): Report => ({
+  machine: "n-0",
+  address: "10.1.0.1:9000",
+  type: "big",
+  zone: "east",
+  spot: false,
+  session: 1,
+  sequence: 1,
+  token: 65_536,
+  noticeS: null,
+  tasks: [],
+  listing: null,
+  same: false,
+  ...fields,
+});
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Bounds, MEASURED, S } from "../src/model/index.js";
+import { S } from "../src/model/index.js";
 import { Random } from "./random.js";
-import { Cluster, plainJob, randomJob } from "./sim/cluster.js";
+import { Cluster, plainJob, randomJob, SMALL } from "./sim/cluster.js";
 import { badNight, partialCuts, trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
@@ -12,16 +12,6 @@
 /** One-way losses, late copies and the like, a day at most. */
 const NIGHTS = Number(process.env.RAINRIDGE_NIGHTS ?? 4);
 
-/** Controllers with too few connections and a processor that is behind for seconds whenever much happens at once. */
-const SMALL: Bounds = {
-  cpuShare: 0.02,
-  maxConnections: 30,
-  keepConnections: 12,
-  memoryBytes: 1e9,
-  sheds: true,
-  costs: MEASURED,
-};
-
 /** No trouble lasts for longer than this. */
 const LONGEST_TROUBLE = 65 * S;
 
--- a/test/evidence.test.ts
+++ b/test/evidence.test.ts
@@ -12,27 +12,11 @@
 import type { Report, TaskReport } from "../src/protocol/worker.js";
 import type { Micros } from "../src/transport/clock.js";
 import type { Outcome } from "../src/transport/http.js";
-import { makeBlock, placedTask } from "./block-fixtures.js";
+import { makeBlock, placedTask, report } from "./block-fixtures.js";
 
 const REPORT = { kind: "report" } as const;
 const TOKEN = 65_536;
 
-const report = (fields: Partial<Report> = {}): Report => ({
-  machine: "n-0",
-  address: "10.1.0.1:9000",
-  type: "big",
-  zone: "east",
-  spot: false,
-  session: 1,
-  sequence: 1,
-  token: TOKEN,
-  noticeS: null,
-  tasks: [],
-  listing: null,
-  same: false,
-  ...fields,
-});
-
 const scene = () => {
   const { block, context, recorder, world } = makeBlock(1);
   const machine = [...block.machines.values()][0] as Machine;
--- a/test/loops.test.ts
+++ b/test/loops.test.ts
@@ -11,7 +11,7 @@
 import { HostClock, World } from "../src/model/index.js";
 import type { JobSpec } from "../src/protocol/user.js";
 import type { Micros } from "../src/transport/clock.js";
-import { makeBlock, nothing, placedTask, quiet, SPEC } from "./block-fixtures.js";
+import { makeBlock, nothing, placedTask, quiet, report, SPEC } from "./block-fixtures.js";
 
 test("a start that got no answer still counts as under way when the next try never leaves", async () => {
   const { block, context, recorder } = makeBlock(1, [{ kind: "lost" }, { kind: "unsent" }]);
@@ -34,24 +34,7 @@
   assert.ok(machine !== undefined);
   Object.assign(machine, { session: null, state: "booting" });
   await world.run(20_000_000, nothing);
-  new Observer(context, recorder).observe(
-    machine,
-    {
-      machine: machine.name,
-      address: "10.1.0.1:9000",
-      type: "big",
-      zone: "east",
-      spot: false,
-      session: 1,
-      sequence: 1,
-      token: 65_536,
-      noticeS: null,
-      tasks: [],
-      listing: null,
-      same: false,
-    },
-    { kind: "report" },
-  );
+  new Observer(context, recorder).observe(machine, report(), { kind: "report" });
   // From when it was rented, its lease would be taken for over long before the worker ends anything.
   assert.equal(machine.leaseBase, context.clock.now());
 });
--- a/test/polls.test.ts
+++ b/test/polls.test.ts
@@ -5,11 +5,11 @@
 import type { Services } from "../src/coordination/context.js";
 import { FrontDoor } from "../src/coordination/front-door.js";
 import { Lookups } from "../src/coordination/lookups.js";
-import { type Bounds, HostClock, MEASURED, S, World } from "../src/model/index.js";
+import { HostClock, S, World } from "../src/model/index.js";
 import type { Entry } from "../src/protocol/state.js";
 import { readSubmission } from "../src/protocol/user.js";
 import type { Micros } from "../src/transport/clock.js";
-import { Cluster, plainJob } from "./sim/cluster.js";
+import { Cluster, plainJob, SMALL } from "./sim/cluster.js";
 
 test("a storm of questions takes no more than its share of the state service, and submissions go on at once", async () => {
   const cluster = new Cluster(41);
@@ -176,16 +176,6 @@
   assert.deepEqual(cluster.unfinished(), []);
 });
 
-/** Controllers with few connections and a processor that is behind for seconds in a storm. */
-const SMALL: Bounds = {
-  cpuShare: 0.02,
-  maxConnections: 30,
-  keepConnections: 12,
-  memoryBytes: 1e9,
-  sheds: true,
-  costs: MEASURED,
-};
-
 const STORMS: Readonly<Record<string, (cluster: Cluster) => void>> = {
   "by itself": () => undefined,
   "with a takeover": (cluster) => cluster.crash(cluster.holder(), 15 * S),
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -6,6 +6,7 @@
   type Bounds,
   HostClock,
   jobBehaviour,
+  MEASURED,
   nobody,
   Random,
   S,
@@ -95,6 +96,16 @@
   jobClass: job.jobclass,
 });
 
+/** Controllers with too few connections and a processor that is behind for seconds whenever much happens at once. */
+export const SMALL: Bounds = {
+  cpuShare: 0.02,
+  maxConnections: 30,
+  keepConnections: 12,
+  memoryBytes: 1e9,
+  sheds: true,
+  costs: MEASURED,
+};
+
 /** A site of the emulator with the checker of the rules beside it, and what tests need to steer it. */
 export class Cluster {
   readonly site: Site;
