--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -48,6 +48,7 @@
   const services = { clock, log: quiet, settings, store, view } as unknown as Services;
   const membership = new Membership(services, "inc-1", { taken: (lease) => taken.push(lease), dropped: nothing });
   void membership.run();
+  await new Promise(setImmediate);
   await world.run(2 * S, nothing);
   assert.equal(grants, 2);
   const put = (key: string, value: unknown, version: number): void => {
