--- a/src/graphs/service/parts.ts
+++ b/src/graphs/service/parts.ts
@@ -1,13 +1,13 @@
 import { gunzipSync, gzipSync } from "node:zlib";
 import type { Services } from "../../coordination/context.js";
-import { parseJson } from "../../protocol/json.js";
+import { parseJson, type Whole } from "../../protocol/json.js";
 import type { Write } from "../../protocol/state.js";
 import type { Response } from "../../transport/http.js";
 import { describeError } from "../../transport/log.js";
 import type { Part, Submission } from "../description/requests.js";
 import { type Absent, answer, BUSY_S, comeBack, digestOf, type Found, MOST_BACKLOG, refuse, TRIES } from "./answers.js";
 import { describing } from "./describing.js";
-import { isRunId, partKey, partPrefix, readUpload, uploadKey } from "./records.js";
+import { endedKey, graphKey, isRunId, partKey, partPrefix, readUpload, uploadKey } from "./records.js";
 
 /** Of a part in one transaction. */
 const MOST_PACKED = 48 * 1_024;
@@ -81,7 +81,13 @@
       return refuse(409, `part ${part} of ${id} is there with other content: choose a new id`);
     }
     const write: Write = { kind: "put", key, value: { parts, have: [...have, part] } };
-    const put = await committer.propose(new Map([[key, entry?.version ?? 0]]), [write, ...pieces], "user");
+    // Once it has become a run the mark is gone: a part come late must not bring it back.
+    const conditions = new Map<string, Whole>([
+      [key, entry?.version ?? 0],
+      [graphKey(id), 0],
+      [endedKey(id), 0],
+    ]);
+    const put = await committer.propose(conditions, [write, ...pieces], "user");
     if (put.kind === "ok") return have.length + 1;
     return put.kind === "conflict" ? "again" : comeBack("state service unavailable");
   }
@@ -116,10 +122,14 @@
 
   /** What is left after a crash here is found by its marker. */
   async clearAway(id: string, parts: readonly string[]): Promise<void> {
-    const { committer, log } = this.services;
+    const { committer, log, view } = this.services;
     try {
-      for (const key of [...parts, uploadKey(id)]) {
-        const result = await committer.propose(new Map(), [{ kind: "delete", key }], "upkeep");
+      await view.sync();
+      const mark = view.entries.get(uploadKey(id));
+      if (mark === undefined) return;
+      const still = new Map([[mark.key, mark.version]]);
+      for (const key of [...parts, mark.key]) {
+        const result = await committer.propose(still, [{ kind: "delete", key }], "upkeep");
         if (result.kind !== "ok") return;
       }
     } catch (error) {
--- a/src/graphs/service/run-writes.ts
+++ b/src/graphs/service/run-writes.ts
@@ -20,6 +20,8 @@
   writeSegments,
 } from "./records.js";
 
+/** In place of the counts that were last put on record: they may not be. */
+const NOT_WRITTEN = "?";
 const RETRY = ms(300);
 /** Larger runs have their counts on record for the controllers that do not hold them. */
 export const LARGE_RUN = 500;
@@ -157,7 +159,7 @@
   }
 
   summarize(run: LiveRun, engine: DagRun): void {
-    const { clock, committer } = this.context;
+    const { clock, committer, view } = this.context;
     if (run.header.steps < LARGE_RUN || run.writing || clock.now() - run.summedAt < SUMMARY_PERIOD) return;
     this.around.refresh(run.id);
     const counts = STATES.map((state) => engine.count(state));
@@ -165,8 +167,15 @@
     if (text === run.summed) return;
     run.summed = text;
     run.summedAt = clock.now();
-    const write: Write = { kind: "put", key: summaryKey(run.id), value: counts };
-    void this.guard(committer.propose(this.conditions(run), [write], "note"));
+    const key = summaryKey(run.id);
+    // An earlier one come late must not stand for this one.
+    const conditions = this.conditions(run).set(key, view.entries.get(key)?.version ?? 0);
+    const write: Write = { kind: "put", key, value: counts };
+    void this.guard(
+      committer.propose(conditions, [write], "note").then((written) => {
+        if (written.kind !== "ok") run.summed = NOT_WRITTEN;
+      }),
+    );
   }
 
   private guard(work: Promise<unknown>): Promise<void> {
--- a/src/graphs/service/uploads.ts
+++ b/src/graphs/service/uploads.ts
@@ -49,16 +49,20 @@
   /** The parts first, the marker last: what is left after a crash is found again. */
   private async drop(id: string): Promise<void> {
     const { store, committer, lease, log, view } = this.context;
-    const own = new Map([[lease.key, lease.version]]);
+    const marker = view.entries.get(uploadKey(id));
+    if (marker === undefined) return;
+    // Whoever uploads it anew writes the marker first: then all of these come too late.
+    const still = new Map([
+      [lease.key, lease.version],
+      [marker.key, marker.version],
+    ]);
     const reply = await store.list(partPrefix(id));
     if (reply.kind !== "ok") return;
     for (const { key } of reply.value.entries.slice(0, AT_ONCE)) {
-      const result = await committer.propose(own, [{ kind: "delete", key }], "upkeep");
+      const result = await committer.propose(still, [{ kind: "delete", key }], "upkeep");
       if (result.kind !== "ok") return;
     }
     if (reply.value.entries.length > AT_ONCE) return;
-    const marker = view.entries.get(uploadKey(id));
-    if (marker === undefined) return;
     const { plan, chunks = 0 } = readUpload(marker.value);
     if (plan !== undefined && !view.entries.has(graphKey(id))) {
       // Its run may have ended since: then the chunks are what it is remembered by.
@@ -66,13 +70,11 @@
       if (ended.kind !== "ok" && ended.kind !== "missing") return;
       for (let at = 0; ended.kind === "missing" && at < chunks; at += 1) {
         const key = planKey(id, plan, at);
-        // Whoever uploads it anew writes the marker first: then these come too late.
-        const still = new Map([...own, [uploadKey(id), marker.version]]);
         const result = await committer.propose(still, [{ kind: "delete", key }], "upkeep");
         if (result.kind !== "ok") return;
       }
     }
-    await committer.propose(own, [{ kind: "delete", key: uploadKey(id) }], "upkeep");
+    await committer.propose(still, [{ kind: "delete", key: marker.key }], "upkeep");
     log.info("upload cleared away", { run: id });
   }
 }
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -11,6 +11,14 @@
 
 type Logged = { set: string; value: unknown; stamp: number } | { remove: string; stamp: number };
 
+interface Transaction {
+  readonly if: readonly { readonly k: string; readonly stamp: number }[];
+  readonly writes: readonly (
+    | { readonly set: string; readonly value: unknown; readonly hold?: number }
+    | { readonly remove: string }
+  )[];
+}
+
 /** Stand-in for the state service, with its limits and its unkind corners. */
 export class StateService {
   private readonly items = new Map<string, Item>();
@@ -29,6 +37,8 @@
   asked = 0;
   /** Told of each transaction that was carried out; a test may end a controller there. */
   onApplied: (keys: readonly string[]) => void = () => undefined;
+  /** Told of each transaction that was carried out, or whose conditions failed, at once. */
+  onTransaction: (body: string) => void = () => undefined;
   /** Share of transactions that are carried out, now or seconds later, without an answer. */
   unanswered = 0;
   /** How late those are carried out, at least and at most; null: half of them at once, the others up to 20 s late. */
@@ -145,14 +155,13 @@
       });
       return new Promise(() => undefined);
     }
-    return this.apply(body);
+    const response = this.apply(body);
+    if (response.status === 200 || response.status === 409) this.onTransaction(body);
+    return response;
   }
 
   private apply(body: string): Response {
-    const { if: conditions, writes } = JSON.parse(body) as {
-      if: { k: string; stamp: number }[];
-      writes: ({ set: string; value: unknown; hold?: number } | { remove: string })[];
-    };
+    const { if: conditions, writes } = JSON.parse(body) as Transaction;
     if (writes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) return json(400, {});
     this.writes += writes.length;
     this.asked += writes.length;
@@ -162,7 +171,7 @@
       if (JSON.stringify(write.value).length > this.limits.valueBytes) return json(400, { error: "value too large" });
       if (write.hold !== undefined && !this.holds.has(write.hold)) return json(400, { error: "no such lease" });
     }
-    const failed = conditions.filter(({ k, stamp }) => (this.items.get(k)?.stamp ?? 0) !== stamp).map(({ k }) => k);
+    const failed = conditions.filter(({ k, stamp }) => this.stampOf(k) !== stamp).map(({ k }) => k);
     if (failed.length > 0) return json(409, { failed, epoch: this.epoch });
     if (writes.length > 0) this.epoch += 1;
     for (const write of writes) {
@@ -176,6 +185,21 @@
     return json(200, { epoch: this.epoch });
   }
 
+  /** Keys that the transaction would change if it were carried out now, late or once more; none if it would fail. */
+  lateEffect(body: string): readonly string[] {
+    const { if: conditions, writes } = JSON.parse(body) as Transaction;
+    if (conditions.some(({ k, stamp }) => this.stampOf(k) !== stamp)) return [];
+    if (writes.some((write) => "set" in write && write.hold !== undefined && !this.holds.has(write.hold))) return [];
+    return writes.flatMap((write) => {
+      if ("remove" in write) return this.items.has(write.remove) ? [write.remove] : [];
+      return JSON.stringify(this.items.get(write.set)?.value) === JSON.stringify(write.value) ? [] : [write.set];
+    });
+  }
+
+  private stampOf(key: string): number {
+    return this.items.get(key)?.stamp ?? 0;
+  }
+
   private grants(request: Request, path: string): Response {
     if (path === "/grants") {
       const ttl = (JSON.parse(request.body) as { ttlMs: number }).ttlMs * 1_000;
