--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,6 +3,7 @@
 import { S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob, SMALL } from "./sim/cluster.js";
+import { MEETING } from "./sim/meetings.js";
 import { badNight, partialCuts, trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
@@ -12,6 +13,9 @@
 /** One-way losses, late copies and the like, a day at most. */
 const NIGHTS = Number(process.env.RAINRIDGE_NIGHTS ?? 4);
 
+/** Refusals of the holder, late transactions, slow answers, held-up commands and the like, a day at most. */
+const MEETINGS = Number(process.env.RAINRIDGE_MET ?? 3);
+
 /** No trouble lasts for longer than this. */
 const LONGEST_TROUBLE = 65 * S;
 
@@ -42,6 +46,10 @@
   for (let number = nights.int(0, NIGHTS); number > 0; number -= 1) {
     cluster.world.at(nights.int(10 * S, busy), () => badNight(cluster, nights));
   }
+  const meetings = new Random(seed + 3_000);
+  for (let number = meetings.int(0, MEETINGS); number > 0; number -= 1) {
+    cluster.world.at(meetings.int(10 * S, busy), () => meetings.pick(Object.values(MEETING))(cluster));
+  }
   await cluster.run(busy);
   await cluster.run(LONGEST_TROUBLE);
   cluster.checker.calmFrom = cluster.world.now;
