--- a/test/late-writes.test.ts
+++ b/test/late-writes.test.ts
@@ -19,11 +19,11 @@
  * Looks, while the site runs, at what each transaction of the last while would change if it were carried out now: late,
  * as the twin of one that was tried again for want of an answer does. Returns the kinds of keys that any of them would have changed, with an example.
  */
-const watchLate = (cluster: Cluster): ReadonlyMap<string, string> => {
+const watchLate = (cluster: Cluster, alter: (body: string) => string = (body) => body): ReadonlyMap<string, string> => {
   const sent: Late[] = [];
   const found = new Map<string, string>();
   cluster.state.onTransaction = (body) => {
-    sent.push({ body, at: cluster.world.now });
+    sent.push({ body: alter(body), at: cluster.world.now });
   };
   const look = (): void => {
     // One of the last moment may just be under way for the first time.
@@ -83,6 +83,19 @@
   }
 });
 
+test("conditions that are left out are caught", async () => {
+  let found: ReadonlyMap<string, string> = new Map();
+  const bare = (body: string): string => JSON.stringify({ ...(JSON.parse(body) as object), if: [] });
+  const cluster = await nightOf({ mesh: false, more: (c) => (found = watchLate(c, bare)) });
+  await cluster.run(30 * S);
+  const kinds = [...found.keys()];
+  for (const kind of ["c/job", "c/range"])
+    assert.ok(
+      kinds.some((seen) => seen.startsWith(kind)),
+      kind,
+    );
+});
+
 const step = (task_id: string, more: object = {}): object => ({ task_id, ...more });
 
 test("the same with graphs: withdrawn, cleared, uploaded in parts and put together", async () => {
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -4,7 +4,8 @@
 import { cancellationTerms } from "../src/settings/cancellation.js";
 import { blockLease, parseSettings } from "../src/settings/settings.js";
 import { settingsText } from "./fixtures.js";
-import { longJobs, MEETING } from "./sim/meetings.js";
+import type { Cluster } from "./sim/cluster.js";
+import { KNOWN_MEETINGS, longJobs, MEETING } from "./sim/meetings.js";
 import { nightOf, settled } from "./sim/night.js";
 
 const { workers } = parseSettings(settingsText(0));
@@ -26,6 +27,28 @@
   names.flatMap((second, other) => (ALL || other === (at + STEP) % names.length ? [[first, second] as const] : [])),
 );
 
+/** Once the last trouble has begun: the longest one, and what it held back, then the calm after it. */
+const comesRight = async (cluster: Cluster): Promise<void> => {
+  await cluster.run(65 * S);
+  cluster.checker.calmFrom = cluster.world.now;
+  await cluster.run(170 * S);
+  const { longestUs } = cluster.checker.afterCancelled;
+  assert.ok(longestUs <= BOUND, `${longestUs / S} of ${BOUND / S} s`);
+  settled(cluster);
+};
+
+for (const [name, troubles] of Object.entries(KNOWN_MEETINGS)) {
+  for (const mesh of [false, true]) {
+    test(`${name}, mesh ${mesh ? "on" : "off"}`, async () => {
+      for (const seed of MEETING_SEEDS) {
+        const cluster = await nightOf({ mesh, seed, more: longJobs }, ...troubles);
+        await cluster.run(45 * S);
+        await comesRight(cluster);
+      }
+    });
+  }
+}
+
 for (const [number, [first, second]] of pairs.entries()) {
   if (number % PARTS !== PART - 1) continue;
   for (const offset of OFFSETS) {
@@ -35,13 +58,7 @@
         MEETING[first]?.(cluster);
         await cluster.run(offset * S);
         MEETING[second]?.(cluster);
-        // The longest trouble, and what it held back.
-        await cluster.run(65 * S);
-        cluster.checker.calmFrom = cluster.world.now;
-        await cluster.run(170 * S);
-        const { longestUs } = cluster.checker.afterCancelled;
-        assert.ok(longestUs <= BOUND, `${longestUs / S} of ${BOUND / S} s`);
-        settled(cluster);
+        await comesRight(cluster);
       });
     }
   }
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -41,6 +41,62 @@
   },
 };
 
+const after = (seconds: number, trouble: Trouble): Trouble => {
+  return (c) => c.world.after(seconds * S, () => trouble(c));
+};
+const named = (name: string): Trouble => {
+  const trouble = MEETING[name];
+  if (trouble === undefined) throw new Error(`no trouble: ${name}`);
+  return trouble;
+};
+
+/** Meetings that broke rules elsewhere, each with what comes when. */
+export const KNOWN_MEETINGS: Readonly<Record<string, readonly Trouble[]>> = {
+  "handed over and back, then all end, and one returns within a second": [
+    named("handed over and back"),
+    after(5, named("all end, one is back at once")),
+  ],
+  "jobs of two or three tasks end far apart over changes of the holder": [
+    named("holder ends"),
+    after(20, named("holder ends and is back at once")),
+    after(45, named("holder ends")),
+  ],
+  "transactions are carried out after newer ones, over a takeover": [
+    named("transactions late"),
+    after(6, named("holder ends and is back at once")),
+    after(14, named("holder ends")),
+  ],
+  "old reports arrive after newer ones, from earlier sessions and attempts as well": [
+    named("reports late"),
+    after(2, named("machines back, counters anew")),
+    after(4, (c) => {
+      for (const { worker } of c.cloud.running().slice(3, 6)) worker?.restart(true);
+    }),
+    after(8, named("machines that only answers do not reach")),
+    after(12, named("holder ends and is back at once")),
+  ],
+  "the holder has its workers and users only, and jobs are cancelled through the new one": [
+    named("holder with its workers only"),
+    after(1, (c) => c.users.cancel("wk-800004")),
+  ],
+  "commands and their answers are held up, and the machines go on": [
+    named("commands held up"),
+    named("answers to commands held up"),
+    after(2, named("machines hang")),
+    after(7, named("holder ends and is back at once")),
+  ],
+  "the holder ends while machines with long tasks are deaf or cut off": [
+    named("machines deaf"),
+    named("zone cut"),
+    after(3, named("holder ends")),
+  ],
+  "the state service is slow, refuses the holder alone, and is then away for all": [
+    named("state service slow"),
+    after(5, named("state service refuses the holder")),
+    after(7, named("state service away for longer than cancel_s")),
+  ],
+};
+
 /** Arrays that run for minutes and are cancelled while the troubles last, and jobs whose few tasks end far apart. */
 export const longJobs: Trouble = (cluster) => {
   for (let at = 0; at < 5; at += 1) {
