--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -5,15 +5,14 @@
 import { RELAY_PATIENCE } from "../transport/patience.js";
 import { BadFrame, type Beat, type Frame, FrameReader, MAX_FRAME, NEVER } from "./frames.js";
 import { BEAT_PERIOD, Peer } from "./peer.js";
-import { ownWayStands, type PeerView, routeFor, type Standing, standingOf, type Target, type Ways } from "./route.js";
+import { ownWayStands, type PeerView, routeFor, type Standing, type Ways } from "./route.js";
+import { OwnWays } from "./ways.js";
 import type { Wire, Wires } from "./wire.js";
 
 /** Calls carried for siblings at once, by the own level: relayed work is shed before one's own. */
 const CARRIED = [256, 128, 48, 8] as const;
 /** Whoever connects says within this time who it is. */
 const GREETING = seconds(3);
-const PROBE_STATE = seconds(1);
-const PROBE_CLOUD = seconds(5);
 /** Reports that ought to have come in a silence before it means anything, and the least such silence. */
 const MISSED_REPORTS = 8;
 const DEAF_LEAST = seconds(1.5);
@@ -62,15 +61,6 @@
   readonly peer: string;
 }
 
-interface Way {
-  failing: boolean;
-  refused: boolean;
-  goodAt: Micros | null;
-  probeAt: Micros;
-}
-
-const newWay = (): Way => ({ failing: false, refused: false, goodAt: null, probeAt: 0 as Micros });
-
 /**
  * Connections to all siblings, what each of them reaches, and calls through them where the own way fails. Nothing rests
  * on it for a rule: a carried call is the caller's own, sent by another way; its rights count from before it left here,
@@ -82,7 +72,7 @@
   private nextId = 1;
   private sequence = 0;
   private carrying = 0;
-  private readonly ways: Record<"state" | "cloud", Way> = { state: newWay(), cloud: newWay() };
+  private readonly ways: OwnWays;
   private heardAt: Micros;
   private awakeSince: Micros;
   private lastBeat: Micros;
@@ -100,6 +90,7 @@
 
   constructor(private readonly setup: MeshSetup) {
     const { clock, log, random, wires, label, incarnation, siblings } = setup;
+    this.ways = new OwnWays(setup);
     const hello: Frame = { type: "hello", label, incarnation };
     for (const sibling of siblings) {
       const peer = new Peer(
@@ -174,8 +165,7 @@
     const peers = this.views();
     const ways = this.waysNow();
     const now = this.setup.clock.now();
-    const standing = (target: "state" | "cloud"): Standing =>
-      standingOf(target, ways, this.ways[target].goodAt !== null, this.ways[target].refused, peers);
+    const standing = (target: "state" | "cloud"): Standing => this.ways.standing(target, ways, peers);
     return {
       state: standing("state"),
       cloud: standing("cloud"),
@@ -188,14 +178,9 @@
 
   // Calls -------------------------------------------------------------------------------------------------
 
-  private targetOf(address: string): Target {
-    if (address === this.setup.stateAddress) return "state";
-    return address === this.setup.cloudAddress ? "cloud" : "worker";
-  }
-
   private async call(address: string, request: Request, timeout: Micros): Promise<Outcome> {
     const { clock, http } = this.setup;
-    const target = this.targetOf(address);
+    const target = this.ways.targetOf(address);
     const through = target === "worker" ? this.throughOf(address) : null;
     const ways = this.waysNow();
     const label = ownWayStands(target, ways, through) ? null : routeFor(target, ways, this.views(), through);
@@ -209,7 +194,7 @@
       return outcome;
     }
     const outcome = await http.call(address, request, timeout);
-    if (target !== "worker") this.learn(target, outcome);
+    this.ways.learn(target, outcome);
     return outcome;
   }
 
@@ -218,46 +203,8 @@
     return known !== undefined && this.setup.clock.now() - known.at < THROUGH ? known.peer : null;
   }
 
-  /** What a call by the own way says of it. */
-  private learn(target: "state" | "cloud", outcome: Outcome): void {
-    const way = this.ways[target];
-    const now = this.setup.clock.now();
-    const refused = outcome.kind === "answer" && outcome.status === 503;
-    if (outcome.kind === "answer" && !refused) {
-      way.failing = false;
-      way.refused = false;
-      way.goodAt = now;
-      return;
-    }
-    // Full of requests is no failure of the way; an empty cloud answers 503, too.
-    if (refused && target === "cloud" && outcome.body.includes("no capacity")) {
-      way.goodAt = now;
-      return;
-    }
-    if (!way.failing) way.probeAt = (now + (target === "state" ? PROBE_STATE : PROBE_CLOUD)) as Micros;
-    way.failing = true;
-    way.refused = refused;
-  }
-
-  /** While the own way fails it is tried again and again, so that calls come back to it. */
-  private probe(): void {
-    const { clock, http, stateAddress, cloudAddress } = this.setup;
-    const now = clock.now();
-    const look = (target: "state" | "cloud", address: string, path: string, period: Micros): void => {
-      const way = this.ways[target];
-      if (!way.failing || now < way.probeAt) return;
-      way.probeAt = (now + period) as Micros;
-      void http
-        .call(address, { method: "GET", target: path, body: "" }, seconds(1.5))
-        .then((outcome) => this.learn(target, outcome));
-    };
-    look("state", stateAddress, "/kv/c/leader", PROBE_STATE);
-    look("cloud", cloudAddress, "/hosts?page=1", PROBE_CLOUD);
-  }
-
   private waysNow(): Ways {
-    const { state, cloud } = this.ways;
-    return { failing: { state: state.failing, cloud: cloud.failing }, deaf: this.deaf };
+    return { failing: this.ways.failing, deaf: this.deaf };
   }
 
   private views(): PeerView[] {
@@ -322,8 +269,7 @@
   private async carry(from: string, address: string, request: Request, timeout: Micros): Promise<Outcome> {
     if (address !== "") {
       const outcome = await this.setup.http.call(address, request, timeout);
-      const target = this.targetOf(address);
-      if (target !== "worker") this.learn(target, outcome);
+      this.ways.learn(this.ways.targetOf(address), outcome);
       return outcome;
     }
     const { status, body, retryAfterS } = await this.setup.report(request, from);
@@ -372,15 +318,13 @@
     const deaf = this.isDeaf(now);
     if (deaf !== this.deaf) this.deafChangedAt = now;
     this.deaf = deaf;
-    this.probe();
+    this.ways.probe();
     this.sequence += 1;
-    const age = ({ goodAt, failing }: Way): number =>
-      goodAt === null || failing ? NEVER : Math.ceil((now - goodAt) / 1_000);
     const beat: Beat = {
       sequence: this.sequence,
       level: level(),
-      stateAgeMs: age(this.ways.state),
-      cloudAgeMs: age(this.ways.cloud),
+      stateAgeMs: this.ways.ageMs("state"),
+      cloudAgeMs: this.ways.ageMs("cloud"),
       deaf: this.deaf,
     };
     for (const peer of this.peers.values()) {
