A zone that has come down to one machine is not taken for cut off for ever

Two jobs bound to that zone never began. The question is dropped with the third machine now; test/watch.test.ts failed before.

--- a/src/coordination/watch.ts
+++ b/src/coordination/watch.ts
@@ -206,10 +206,10 @@
     }
     for (const [zone, { answeredAt, heard, count }] of latest) {
       const open = this.controls.get(zone);
-      if (open !== undefined && answeredAt > open.since) this.controls.delete(zone);
+      // With fewer machines there is nobody to compare with, also where there were more when the first one was asked: of a zone that
+      // had come down to one machine, nobody was asked again, and it counted as cut off for ever.
+      if (count < FEWEST || (open !== undefined && answeredAt > open.since)) this.controls.delete(zone);
       else if ((open !== undefined && now - open.at > PROBE_TIME) || (open === undefined && asked.has(zone))) {
-        // With fewer machines there is nobody to compare with.
-        if (count < FEWEST) continue;
         this.controls.set(zone, { since: open?.since ?? now, at: now });
         void this.around.guard(this.around.commander.send(heard, true));
       }
