--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -1,15 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { S } from "../src/model/index.js";
-import { cancellationTerms } from "../src/settings/cancellation.js";
-import { blockLease, parseSettings } from "../src/settings/settings.js";
-import { settingsText } from "./fixtures.js";
 import type { Cluster } from "./sim/cluster.js";
-import { longJobs } from "./sim/meetings.js";
+import { BOUND, longJobs } from "./sim/meetings.js";
 import { busy, nightOf, settled, type Trouble } from "./sim/night.js";
 
-const { workers } = parseSettings(settingsText(0));
-const BOUND = cancellationTerms(workers, blockLease({ workers })).total;
 const REFUSED = 14 * S;
 /** Longer than `cancel_s`. */
 const AWAY = 64 * S;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,16 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { S } from "../src/model/index.js";
-import { cancellationTerms } from "../src/settings/cancellation.js";
-import { blockLease, parseSettings } from "../src/settings/settings.js";
-import { settingsText } from "./fixtures.js";
 import type { Cluster } from "./sim/cluster.js";
-import { KNOWN_MEETINGS, longJobs, MEETING } from "./sim/meetings.js";
+import { BOUND, KNOWN_MEETINGS, longJobs, MEETING } from "./sim/meetings.js";
 import { nightOf, settled } from "./sim/night.js";
 
-const { workers } = parseSettings(settingsText(0));
-const BOUND = cancellationTerms(workers, blockLease({ workers })).total;
-
 /**
  * By hand: RAINRIDGE_MEETINGS=all plays all pairs at all offsets with three seeds, RAINRIDGE_PART=2/8 the second eighth of
  * them (docs/results.md).
