What a new holder takes over beyond a team's limit is not started again

What is proved not to be on its machine now goes back to waiting while the team's possible use is above its limit.

--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -285,8 +285,15 @@
         // Only a worker past the token under which the start was sent can no longer get it.
         if (token <= task.launch.token) return;
         task.launch = { kind: "none" };
-        // Where commands do not arrive it would wait for as long as they don't.
-        if (task.job.cancelled || task.stop !== null || !isReached(machine.reach)) this.gone(task);
+        // Where commands do not arrive it would wait for as long as they don't. Beyond its team's limit it must not be started: the
+        // records of one job may be older than those of another that took its place, and a new holder takes over both.
+        if (
+          task.job.cancelled ||
+          task.stop !== null ||
+          !isReached(machine.reach) ||
+          !this.context.block.withinLimit(task.job.spec, 0)
+        )
+          this.gone(task);
         else if (task.on !== null) this.context.wakeCommands(task.on);
         return;
       case "seen":
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -3,7 +3,7 @@
 import type { Machine } from "../src/bookkeeping/picture.js";
 import { Commander } from "../src/coordination/commander.js";
 import { Observer } from "../src/coordination/observer.js";
-import { makeBlock, placedTask } from "./block-fixtures.js";
+import { makeBlock, placedTask, report, SPEC } from "./block-fixtures.js";
 
 const scene = () => {
   const { block, context, recorder } = makeBlock(1);
@@ -37,3 +37,18 @@
   assert.deepEqual(commander.standing(machine, [own]), [own, { op: "stop", task: "wk-9/7", attempt: 1, graceS: 0 }]);
   assert.deepEqual(commander.standing(machine, owed.slice(5, 10)), [...owed.slice(5, 10), own]);
 });
+
+test("what a new holder takes over beyond a team's limit is not started again where it was", () => {
+  // The ends of one job's tasks were not on record yet, those that took their place were: after an outage and a takeover
+  // all of them were started, and the team used more than its limit (random day 2297).
+  const { block, context, recorder } = makeBlock(1);
+  const machine = [...block.machines.values()][0] as Machine;
+  const job = block.addJob({ ...SPEC, team: "capped", tasks: 6 }, 1, false);
+  const records = Array.from({ length: 6 }, () => [1, machine.name]);
+  block.restoreRange(job, 0, 1, { t: records }, 65_535);
+  // Four tasks of four CPUs are the limit.
+  assert.equal(block.teamUse("capped").cpu, 24_000);
+  new Observer(context, recorder).observe(machine, report({ sequence: 2 }), { kind: "report" });
+  assert.equal(block.teamUse("capped").cpu, 16_000);
+  assert.deepEqual([job.placed.size, job.waiting.size], [4, 2]);
+});
