Answers and takeovers: no refusal before it is known that nothing was accepted, zone rules at takeovers

- A submission whose ref was accepted before is answered with its state, also where its job has ended and the machine types known by now would refuse it: it got 422 or 400.
Unknown only after one more look at the view behind the lookup.

--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -152,12 +152,12 @@
     }
     if (!view.loaded || this.types.size === 0) return comeBack("machine types unknown");
     if (view.entries.has(jobKey(spec.id)) || this.ends.has(spec.id)) return this.status(spec.id);
-    const never = neverRuns(spec, this.services.settings, this.types);
-    if (never !== null) return answer(422, { error: never });
-    // The state service would refuse the record however often it is sent.
-    const { valueBytes } = this.services.settings.state;
-    if (body.length > valueBytes / 2 && formatJson(spec).length + RECORD_BYTES > valueBytes) {
-      return answer(400, { error: "job: too large" });
+    const refusal = this.refusal(spec, body);
+    if (refusal !== null) {
+      // What was accepted once, perhaps under other machine types, is never refused, and may have ended long ago.
+      const found = await this.find(spec.id);
+      if (found.kind === "unknown") return comeBack("state service unavailable");
+      return found.kind === "never" ? refusal : this.statusOf(spec.id, found);
     }
     const full = overload.atLeast("full") || view.entries.has(fullKey(homeBlock(spec.team)));
     if (full && !this.takenAllTheSame(spec.jobClass)) return comeBack("overloaded", OVERLOAD_WAIT_S);
@@ -183,6 +183,17 @@
     }
   }
 
+  /** Why nothing like it is accepted, whoever asks. */
+  private refusal(spec: JobSpec, body: string): Response | null {
+    const { settings } = this.services;
+    const never = neverRuns(spec, settings, this.types);
+    if (never !== null) return answer(422, { error: never });
+    // The state service would refuse the record however often it is sent.
+    const { valueBytes } = settings.state;
+    const tooLarge = body.length > valueBytes / 2 && formatJson(spec).length + RECORD_BYTES > valueBytes;
+    return tooLarge ? answer(400, { error: "job: too large" }) : null;
+  }
+
   /** No older than the question: what any controller has told anybody before is known to the answer. */
   private async find(id: string): Promise<Found> {
     const { view } = this.services;
@@ -192,9 +203,11 @@
     const entry = view.entries.get(jobKey(id));
     if (entry !== undefined) return { kind: "current", entry };
     const reply = await this.lookups.find(id);
-    if (reply.kind === "missing") return { kind: "never" };
-    if (reply.kind !== "ok") return { kind: "unknown" };
-    return { kind: "ended", end: readEnd(reply.value.value) };
+    if (reply.kind === "ok") return { kind: "ended", end: readEnd(reply.value.value) };
+    if (reply.kind !== "missing") return { kind: "unknown" };
+    // Accepted while it was looked up: others may have been told so before this answer gets there.
+    const since = view.entries.get(jobKey(id));
+    return since === undefined ? { kind: "never" } : { kind: "current", entry: since };
   }
 
   private remember(id: string, end: EndRecord): void {
@@ -205,7 +218,10 @@
   }
 
   private async status(id: string): Promise<Response> {
-    const found = await this.find(id);
+    return this.statusOf(id, await this.find(id));
+  }
+
+  private statusOf(id: string, found: Found): Response {
     switch (found.kind) {
       case "unknown":
         return comeBack("state service unavailable");
--- a/src/coordination/observer.ts
+++ b/src/coordination/observer.ts
@@ -5,6 +5,7 @@
 import type { ExitReason, Report, TaskReport } from "../protocol/worker.js";
 import { type Micros, seconds } from "../transport/clock.js";
 import { type BlockContext, backOff, FENCES, firstToken, tokenOf } from "./context.js";
+import { zoneAllowed, zoneCounts } from "./decisions/eligibility.js";
 import { type Evidence, type Origin, weigh } from "./decisions/evidence.js";
 import { answersReach, commandsReach, isReached, questionCame, reportCame } from "./decisions/reach.js";
 import { acquit, RUNS_WELL, takeFailure } from "./decisions/trial.js";
@@ -36,6 +37,14 @@
   return true;
 };
 
+/** Do the zone rules of its job, given where the other tasks may be, let the task stay where it is? */
+const zoneKept = ({ job }: Task, { zone }: Machine): boolean => {
+  if (!job.spec.spread && !job.spec.oneZone) return true;
+  const counts = zoneCounts(job);
+  counts.set(zone, (counts.get(zone) ?? 0) - 1);
+  return zoneAllowed(job.spec, counts, zone);
+};
+
 /** Takes in what workers say and concludes from it which tasks are where, or surely nowhere. */
 export class Observer {
   private failedStarts = 0;
@@ -285,13 +294,15 @@
         // Only a worker past the token under which the start was sent can no longer get it.
         if (token <= task.launch.token) return;
         task.launch = { kind: "none" };
-        // Where commands do not arrive it would wait for as long as they don't. Beyond its team's limit it must not be started: the
-        // records of one job may be older than those of another that took its place, and a new holder takes over both.
+        // Where commands do not arrive it would wait for as long as they don't. Beyond its team's limit, or where its job's other
+        // tasks keep it out of the zone, it must not be started: one record may be older than another that took its place, and a
+        // new holder takes over both.
         if (
           task.job.cancelled ||
           task.stop !== null ||
           !isReached(machine.reach) ||
-          !this.context.block.withinLimit(task.job.spec, 0)
+          !this.context.block.withinLimit(task.job.spec, 0) ||
+          !zoneKept(task, machine)
         )
           this.gone(task);
         else if (task.on !== null) this.context.wakeCommands(task.on);
--- /dev/null
+++ b/test/answers.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { endKey, jobKey } from "../src/bookkeeping/records.js";
+import type { Services } from "../src/coordination/context.js";
+import { FrontDoor } from "../src/coordination/front-door.js";
+import { HostClock, S, World } from "../src/model/index.js";
+import type { Entry } from "../src/protocol/state.js";
+import { readSubmission } from "../src/protocol/user.js";
+import { parseSettings } from "../src/settings/settings.js";
+import type { Response } from "../src/transport/http.js";
+import { bigType, settingsText } from "./fixtures.js";
+import { plainJob } from "./sim/cluster.js";
+
+/** A controller's answers to users with chosen records below `c/` and `e/`; `away`: the state service answers nothing. */
+const doorOn = (ended: Readonly<Record<string, unknown>>, { away = false } = {}) => {
+  const world = new World();
+  const entries = new Map<string, Entry>();
+  const put = (key: string, value: unknown): void => {
+    entries.set(key, { key, value, version: 7 });
+  };
+  const during: { lookUp: () => void } = { lookUp: () => undefined };
+  const services = {
+    clock: new HostClock(world, 1, 0),
+    settings: parseSettings(settingsText(0)),
+    log: { info: () => undefined, error: () => undefined },
+    view: { entries, loaded: true, sync: async () => !away },
+    store: {
+      get: async (key: string) => {
+        during.lookUp();
+        return key in ended ? { kind: "ok", value: { key, value: ended[key], version: 3 } } : { kind: "missing" };
+      },
+    },
+    overload: { atLeast: () => false },
+    committer: { backlog: 0 },
+  } as unknown as Services;
+  const types = new Map([["big", bigType(["east"])]]);
+  const door = new FrontDoor(services, types, { running: () => null, holds: () => false, withdrawn: () => false });
+  /** Lookups keep a pace by the clock. */
+  const handle = async (method: string, target: string, body = ""): Promise<Response> => {
+    let over = false;
+    const answered = door.handle({ method, target, body }).finally(() => {
+      over = true;
+    });
+    while (!over) {
+      await world.run(world.now + S, () => undefined);
+      await new Promise(setImmediate);
+    }
+    return answered;
+  };
+  const submit = async (body: object): Promise<readonly [number, Record<string, unknown>]> => {
+    const { status, body: text } = await door.handle({
+      method: "POST",
+      target: "/v2/runs",
+      body: JSON.stringify(body),
+    });
+    return [status, JSON.parse(text) as Record<string, unknown>];
+  };
+  const ask = async (id: string): Promise<number> => (await handle("GET", `/v2/runs/${id}`)).status;
+  return { put, during, submit, ask };
+};
+
+const JOB = plainJob("wk-000001");
+
+test("a repeat of what was accepted once is answered with its state, whatever it asks for by now", async () => {
+  // Refused by what is known of machine types now, before anybody had looked whether it had been accepted and ended long ago.
+  const { submit } = doorOn({ [endKey(JOB.ref)]: { phase: "done", done: 3 } });
+  for (const odd of [
+    { cpus: 100_000 },
+    { flavors: ["gone"] },
+    { bundle: "x".repeat(200), flavors: ["y".repeat(9_000)] },
+  ]) {
+    const [status, answer] = await submit({ ...JOB, ...odd });
+    assert.deepEqual([status, answer.phase], [200, "done"]);
+  }
+});
+
+test("what can never run is refused with the reason once nobody has accepted it, and with none before that is known", async () => {
+  const never = doorOn({});
+  assert.deepEqual(await never.submit({ ...JOB, cpus: 100_000 }), [
+    422,
+    { error: "a task fits no allowed machine type" },
+  ]);
+  assert.deepEqual(await never.submit({ ...JOB, owner: "nobody" }), [422, { error: "unknown team" }]);
+  const away = doorOn({}, { away: true });
+  assert.equal((await away.submit({ ...JOB, cpus: 100_000 }))[0], 503);
+  // A field that lacks is told without any look.
+  const [status, answer] = await away.submit({ ...JOB, cpus: undefined });
+  assert.equal(status, 400);
+  assert.match(String(answer.error), /^cpus/);
+});
+
+test("a job accepted while it was looked up among the ended ones is not unknown", async () => {
+  const { put, during, ask } = doorOn({});
+  assert.equal(await ask(JOB.ref), 404);
+  during.lookUp = () => put(jobKey(JOB.ref), { spec: readSubmission(JOB), block: 0, cancelled: false });
+  assert.equal(await ask(JOB.ref), 200);
+});
--- a/test/commands.test.ts
+++ b/test/commands.test.ts
@@ -52,3 +52,22 @@
   assert.equal(block.teamUse("capped").cpu, 16_000);
   assert.deepEqual([job.placed.size, job.waiting.size], [4, 2]);
 });
+
+test("what a new holder takes over is not started again where its job's other tasks keep it out of the zone", () => {
+  // Ranges of a large job are written one by one, so that a takeover may find two moments of it: by one all tasks had been in
+  // the east, by the other, newer one they are in the west.
+  for (const rule of [{ oneZone: true }, { spread: true, shape: "service" as const }]) {
+    const { block, context, recorder } = makeBlock(2);
+    const [east, west] = [...block.machines.values()] as [Machine, Machine];
+    const job = block.addJob({ ...SPEC, ...rule, tasks: 130, demand: { cpu: 100, gpu: 0, ram: 1 } }, 1, false);
+    const at = (machine: Machine, count: number) => ({ t: Array.from({ length: count }, () => [1, machine.name]) });
+    // Spread over both zones as it should be, but for the one in the second range.
+    const first = "oneZone" in rule ? at(west, 128) : { t: [...at(east, 65).t, ...at(west, 63).t] };
+    block.restoreRange(job, 0, 1, first, 65_535);
+    block.restoreRange(job, 1, 1, at(east, 2), 65_535);
+    const observer = new Observer(context, recorder);
+    observer.observe(east, report({ sequence: 2 }), { kind: "report" });
+    const inEast = [...job.placed].filter(({ on }) => on === east).length;
+    assert.equal(inEast, "oneZone" in rule ? 0 : 65);
+  }
+});
