--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -48,11 +48,7 @@
     return answered;
   };
   const submit = async (body: object): Promise<readonly [number, Record<string, unknown>]> => {
-    const { status, body: text } = await door.handle({
-      method: "POST",
-      target: "/v2/runs",
-      body: JSON.stringify(body),
-    });
+    const { status, body: text } = await handle("POST", "/v2/runs", JSON.stringify(body));
     return [status, JSON.parse(text) as Record<string, unknown>];
   };
   const ask = async (id: string): Promise<number> => (await handle("GET", `/v2/runs/${id}`)).status;
