--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -1,11 +1,11 @@
 import type { MachineType } from "../protocol/cloud.js";
 import type { Whole } from "../protocol/json.js";
-import type { JobSpec } from "../protocol/user.js";
+import { type JobSpec, PRIORITIES } from "../protocol/user.js";
 import type { Team } from "../settings/settings.js";
-import type { Clock, Micros } from "../transport/clock.js";
+import { type Clock, type Micros, seconds } from "../transport/clock.js";
 import { newMachine, rememberImage, tally } from "./machines.js";
 import type { Job, Machine, Range, Task } from "./picture.js";
-import { readRange, type TaskRecord } from "./records.js";
+import { rangeBytes, readRange, type TaskRecord } from "./records.js";
 
 /**
  * Nothing speaks against it. Not the present time: ranges come into being in the midst of a round, and by the time that
@@ -20,6 +20,8 @@
   readonly machines = new Map<string, Machine>();
   /** Machines deleted by this holder: the cloud's lists go on naming them for a while. */
   readonly deleted = new Set<string>();
+  /** A range's value may not be larger; follows what the state service takes. */
+  recordBytes = Number.POSITIVE_INFINITY;
   private readonly used = new Map<string, { cpu: number; gpu: number }>();
 
   constructor(
@@ -30,6 +32,7 @@
   ) {}
 
   addJob(spec: JobSpec, version: Whole, cancelled: boolean): Job {
+    const due = spec.deadlineS === null ? null : ((this.clock.now() + seconds(spec.deadlineS)) as Micros);
     const job: Job = {
       spec,
       version,
@@ -44,6 +47,11 @@
       begun: false,
       lifted: false,
       seenAt: this.clock.now(),
+      blocked: false,
+      rank: PRIORITIES.indexOf(spec.priority),
+      ownDue: due,
+      dueAt: due,
+      awaited: null,
       ending: false,
       failedOn: new Set(),
       onTrial: false,
@@ -164,6 +172,15 @@
     task.state = state;
   }
 
+  /** Would its range's value still be small enough with the task on that machine? */
+  fitsRecord({ range, want }: Task, machine: string): boolean {
+    const attempt = (want.kind === "done" ? 0 : want.attempt) + 1;
+    const placed = range.tasks.length * (machine.length + String(attempt).length + 8) + 8;
+    if (placed <= this.recordBytes) return true;
+    const one = rangeBytes([{ kind: "placed", attempt, machine }]);
+    return rangeBytes(range.tasks.map((task) => task.want)) + one <= this.recordBytes;
+  }
+
   remember(machine: Machine, task: Task): void {
     rememberImage(machine, task.job.spec.image, task.job.spec.imageGb);
   }
--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -1,4 +1,4 @@
-import type { Whole } from "../protocol/json.js";
+import { formatJson, type Whole } from "../protocol/json.js";
 import type { Write } from "../protocol/state.js";
 import { type Clock, type Micros, ms, seconds } from "../transport/clock.js";
 import { RateLimit } from "../transport/rate-limit.js";
@@ -59,6 +59,8 @@
   bytes: number;
 }
 
+/** No limit on values is taken to be below this: what is smaller was refused for something else. */
+const LEAST_VALUE = 512;
 const MAX_IN_FLIGHT = 2;
 /** So often a limit that was passed is waited for before whoever proposed is told. */
 const MAX_TRIES = 8;
@@ -85,6 +87,9 @@
   private batches = 0;
   private lastTurn = 0;
   private armed = false;
+  /** So large a value, and so many writes at once, may be: as told, and less where the state service has refused as much. */
+  valueBytes: number;
+  mostWrites: number;
 
   constructor(
     private readonly store: Store,
@@ -92,6 +97,8 @@
     private readonly random: () => number,
   ) {
     this.budget = new RateLimit(clock, store.budget.writesPerS);
+    this.valueBytes = store.budget.valueBytes ?? Number.POSITIVE_INFINITY;
+    this.mostWrites = store.budget.writesPerTransaction;
   }
 
   /** Writes a second that this process may send at present. */
@@ -215,7 +222,7 @@
 
   private takeBatch(beginWith: Urgency): Batch {
     const batch: Batch = { proposals: [], conditions: new Map(), written: new Set(), writes: [], bytes: 0 };
-    const most = Math.min(this.store.budget.writesPerTransaction, this.budget.available());
+    const most = Math.min(this.mostWrites, this.budget.available());
     const { prompt, work, note, upkeep } = this.queues;
     const others = work.length + note.length + upkeep.length > 0;
     const notReserved = most - this.budget.current * RESERVED;
@@ -240,7 +247,6 @@
 
   private fill(batch: Batch, urgency: Urgency, most: number): void {
     const queue = this.queues[urgency];
-    const { writesPerTransaction } = this.store.budget;
     let kept = 0;
     let at = 0;
     for (; at < queue.length; at += 1) {
@@ -250,7 +256,7 @@
       const fits =
         empty ||
         (batch.writes.length + proposal.keys.length <= most &&
-          batch.conditions.size + proposal.conditions.size <= writesPerTransaction * 4 &&
+          batch.conditions.size + proposal.conditions.size <= this.mostWrites * 4 &&
           batch.bytes <= MAX_BYTES);
       if (!fits) break;
       if (!empty && this.clashes(batch, proposal)) {
@@ -291,6 +297,15 @@
         if (hit.length > 0) this.again(batch.proposals.filter((proposal) => !hit.includes(proposal)));
         return;
       }
+      case "too large":
+        if (batch.proposals.length > 1) {
+          // Each by itself, or in smaller company: which of them it is shows then.
+          this.mostWrites = Math.max(1, Math.floor(batch.writes.length / 2));
+          this.again(batch.proposals);
+          return;
+        }
+        this.learnLimits(batch.writes);
+        break;
       case "refused":
         // Most likely an outage: not to be met with all that is waiting, time and again.
         this.budget.hold(ms(20 + 80 * this.random()));
@@ -301,6 +316,14 @@
     for (const proposal of batch.proposals) proposal.resolve(result);
   }
 
+  /** The same is never sent again as it is: whoever proposed it finds lower limits here. */
+  private learnLimits(writes: readonly Write[]): void {
+    if (writes.length > 1) this.mostWrites = Math.min(this.mostWrites, writes.length - 1);
+    const sizes = writes.map((write) => (write.kind === "put" ? formatJson(write.value).length : 0));
+    const largest = Math.max(0, ...sizes);
+    if (largest >= LEAST_VALUE) this.valueBytes = Math.min(this.valueBytes, largest - 1);
+  }
+
   private retries(proposal: Proposal): boolean {
     proposal.tries += 1;
     if (proposal.tries <= MAX_TRIES) return true;
--- a/src/bookkeeping/picture.ts
+++ b/src/bookkeeping/picture.ts
@@ -155,7 +155,17 @@
   begun: boolean;
   /** Goes first, since too few of its class or team have begun (decisions/served.ts). */
   lifted: boolean;
-  readonly seenAt: Micros;
+  /** Since when it waits: when it was first seen here, or when the last job that it awaits was on record as done. */
+  seenAt: Micros;
+  /** Awaits jobs that are not on record as done: it takes part in nothing but its own cancellation. */
+  blocked: boolean;
+  /** With which it counts: its own, or that of a job that needs it; 0 is the highest. */
+  rank: number;
+  /** By when it is to be done, by its own deadline and by those of the jobs that need it. */
+  ownDue: Micros | null;
+  dueAt: Micros | null;
+  /** Where its list of awaited jobs lies, if not in its own record. */
+  awaited: { readonly digest: string; readonly parts: number } | null;
   ending: boolean;
   /** Machines on which a task of it failed since one last succeeded. */
   readonly failedOn: Set<string>;
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -38,6 +38,8 @@
 export const fullKey = (block: number): string => `c/full/${block}`;
 /** Zones in which nobody has been answered for a while, and since when (`SilenceRecord`). */
 export const silenceKey = (block: number): string => `c/silence/${block}`;
+/** Part of a list of awaited jobs that is too long for its job's own record. The digest is the list's: nothing else is ever there. */
+export const awaitedKey = (id: string, digest: string, part: number): string => `c/awaits/${id}/${digest}/${part}`;
 export const endKey = (id: string): string => `e/${id}`;
 
 const after = (prefix: string, key: string): string | null =>
@@ -66,6 +68,10 @@
   readonly spec: JobSpec;
   readonly block: number;
   readonly cancelled: boolean;
+  /** Where the list of awaited jobs lies, if it is not in the specification. */
+  readonly awaited?: { readonly digest: string; readonly parts: number };
+  /** Time of day in milliseconds at which it was accepted, where that is known. */
+  readonly acceptedMs?: number;
   /** Where it was not its user who cancelled it. */
   readonly why?: EndReason;
   /** By task, failures that count against the attempt that this job is; kept for jobs of graphs only. */
@@ -106,6 +112,17 @@
   }
 };
 
+/** Bytes of a range's value as sent. */
+export const rangeBytes = (records: readonly TaskRecord[]): number => {
+  let bytes = 8;
+  for (const record of records) {
+    if (record.kind === "done") bytes += 3;
+    else if (record.kind === "waiting") bytes += String(record.attempt).length + 1;
+    else bytes += String(record.attempt).length + Buffer.byteLength(record.machine) + 6;
+  }
+  return bytes;
+};
+
 export const writeRange = (tasks: readonly TaskRecord[]): unknown => ({ t: tasks.map(writeTask) });
 
 export const readRange = (value: unknown): readonly TaskRecord[] =>
@@ -129,11 +146,28 @@
     spec: asObject(fields.spec, "spec") as unknown as JobSpec,
     block: readAmount(fields, "block"),
     cancelled: fields.cancelled === true,
+    ...(fields.awaited === undefined ? {} : { awaited: fields.awaited as NonNullable<JobRecord["awaited"]> }),
+    ...(typeof fields.acceptedMs === "number" ? { acceptedMs: fields.acceptedMs } : {}),
     ...whyOf(fields),
     ...(fields.errors === undefined ? {} : { errors: fields.errors as Readonly<Record<string, number>> }),
   };
 };
 
+/** The jobs that it awaits, wherever its list lies; null while a part of it is not in the view. */
+export const awaitsOf = (
+  { spec, awaited }: JobRecord,
+  entries: ReadonlyMap<string, { readonly value: unknown }>,
+): readonly string[] | null => {
+  if (awaited === undefined) return spec.awaits ?? [];
+  const ids: string[] = [];
+  for (let part = 0; part < awaited.parts; part += 1) {
+    const entry = entries.get(awaitedKey(spec.id, awaited.digest, part));
+    if (entry === undefined) return null;
+    for (const id of asArray(entry.value, "awaited")) if (typeof id === "string") ids.push(id);
+  }
+  return ids;
+};
+
 export const readMember = (value: unknown): MemberRecord => {
   const fields = asObject(value, "member");
   return { lease: readWhole(fields, "lease"), incarnation: readString(fields, "incarnation") };
--- a/src/bookkeeping/store.ts
+++ b/src/bookkeeping/store.ts
@@ -22,6 +22,8 @@
 export type Committed =
   | { readonly kind: "ok"; readonly version: Whole }
   | { readonly kind: "conflict"; readonly keys: readonly string[] }
+  /** Surely not executed, and never will be as it is: a value or the whole is larger than the state service takes by now. */
+  | { readonly kind: "too large" }
   /** `busy`: surely not executed, because a limit was passed; the same may be sent again a little later. */
   | { readonly kind: "refused" | "lost" }
   | { readonly kind: "busy" };
@@ -30,6 +32,7 @@
   readonly requestsPerS: number;
   readonly writesPerS: number;
   readonly writesPerTransaction: number;
+  readonly valueBytes?: number;
 }
 
 const TIMEOUT = ms(2_000);
@@ -89,11 +92,10 @@
       return failed.kind === "ok" ? { kind: "conflict", keys: failed.value } : { kind: "lost" };
     }
     if (outcome.kind === "answer" && outcome.status === 400) {
-      // A lease that ran out meanwhile is an ordinary answer; anything else is a defect of ours.
-      if (!outcome.body.includes("no such lease")) {
-        this.log.error("transaction refused as malformed", { body: outcome.body.slice(0, 200) });
-      }
-      return { kind: "refused" };
+      // A lease that ran out meanwhile is an ordinary answer; anything else is larger than by now is taken.
+      if (outcome.body.includes("no such lease")) return { kind: "refused" };
+      this.log.info("transaction refused as too large", { writes: writes.length, body: outcome.body.slice(0, 200) });
+      return { kind: "too large" };
     }
     if (outcome.kind === "answer" && outcome.status === 429) return { kind: "busy" };
     const reply = this.read(outcome, readRevision);
--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -20,6 +20,7 @@
   readonly entries = new Map<string, Entry>();
   private revision: Whole | null = null;
   private readonly listeners: ((change: Change) => void)[] = [];
+  private readonly before: ((change: Change) => void)[] = [];
   private running: Promise<boolean> | null = null;
   private queued: Promise<boolean> | null = null;
   private syncedAt: Micros = 0 as Micros;
@@ -45,6 +46,14 @@
     this.listeners.push(listener);
   }
 
+  /**
+   * For what others conclude from: told of all that has come together before any other listener is told of the first of it. A
+   * holder that took its block in the midst of a list found jobs there of which the chains had not heard yet, and never began them.
+   */
+  onChangeBefore(listener: (change: Change) => void): void {
+    this.before.push(listener);
+  }
+
   async follow(): Promise<never> {
     for (;;) {
       const sent = this.clock.now();
@@ -103,7 +112,7 @@
     // seeing its key needs the ranges that were written before.
     for (const change of changes) this.keep(change);
     this.freshAt = sent;
-    for (const change of changes) this.tell(change);
+    this.tell(changes);
     this.log.info("state read", { entries: this.entries.size });
   }
 
@@ -123,7 +132,7 @@
     if (reply.value.revision > known) this.revision = reply.value.revision;
     this.freshAt = Math.max(this.freshAt ?? 0, sent) as Micros;
     for (const change of changes) this.keep(change);
-    for (const change of changes) this.tell(change);
+    this.tell(changes);
     return true;
   }
 
@@ -132,7 +141,8 @@
     else this.entries.delete(change.key);
   }
 
-  private tell(change: Change): void {
-    for (const listener of this.listeners) listener(change);
+  private tell(changes: readonly Change[]): void {
+    for (const change of changes) for (const listener of this.before) listener(change);
+    for (const change of changes) for (const listener of this.listeners) listener(change);
   }
 }
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,4 +1,5 @@
 import type { Block } from "../bookkeeping/block.js";
+import type { Chains } from "../bookkeeping/chains.js";
 import type { Committer } from "../bookkeeping/committer.js";
 import type { Sink } from "../bookkeeping/events.js";
 import type { Job, Machine, Task } from "../bookkeeping/picture.js";
@@ -24,6 +25,8 @@
   readonly store: Store;
   readonly committer: Committer;
   readonly view: View;
+  /** Which current jobs await which; kept by every controller. */
+  readonly chains: Chains;
   /** Uniform in [0, 1). */
   readonly random: () => number;
   readonly sink: Sink;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,5 +1,7 @@
+import { Chains } from "../bookkeeping/chains.js";
 import { Committer } from "../bookkeeping/committer.js";
 import type { Sink } from "../bookkeeping/events.js";
+import type { Job } from "../bookkeeping/picture.js";
 import { CURRENT, homeBlock, TYPES_KEY } from "../bookkeeping/records.js";
 import { Store } from "../bookkeeping/store.js";
 import { FOLLOW_SHARE, gapFor, SYNC_SHARE, View } from "../bookkeeping/view.js";
@@ -93,6 +95,7 @@
         requestsPerS: settings.state.rps * SHARE,
         writesPerS: settings.state.writeRps * WRITE_SHARE,
         writesPerTransaction: settings.state.transactionWrites,
+        valueBytes: settings.state.valueBytes,
       },
       random,
     );
@@ -113,7 +116,8 @@
     const spent = outside.spent ?? null;
     const wall = outside.wall ?? null;
     const own = { clock, log, http, random, wall, deafChangedAt: () => this.mesh?.deafChangedAt ?? null };
-    this.services = { ...own, settings, options, store, committer, view, sink, overload, spent };
+    const chains = new Chains();
+    this.services = { ...own, settings, options, store, committer, view, chains, sink, overload, spent };
     this.cloud = new Cloud(http, settings.cloudAddress, clock, log, settings.cloud.rps * 0.8);
     this.extension = outside.extension?.(this.services, this.types) ?? null;
     this.membership = new Membership(this.services, incarnation, {
@@ -129,8 +133,15 @@
         return null;
       },
       holds: () => this.stewards.size > 0,
-      withdrawn: (spec) => this.extension?.withdrawn(spec) === true,
+      withdrawn: (spec) => chains.isWithdrawn(spec.id) || this.extension?.withdrawn(spec) === true,
     });
+    chains.onWithdrawn = (id) => {
+      for (const steward of this.stewards.values()) steward.withdrawn(id);
+    };
+    chains.onMayBegin = (id) => {
+      for (const steward of this.stewards.values()) steward.mayBegin(id);
+    };
+    view.onChangeBefore((change) => this.frontDoor.awaited.changed(change));
     view.onChange((change) => {
       if (change.key === TYPES_KEY && change.kind === "put") this.learnTypes(change.value);
       for (const steward of this.stewards.values()) steward.changed(change);
@@ -148,6 +159,15 @@
     return sum;
   }
 
+  /** A job of a block held here, as far as its place in the order goes. */
+  jobAt(id: string): Pick<Job, "rank" | "dueAt" | "blocked"> | null {
+    for (const steward of this.stewards.values()) {
+      const job = steward.jobAt(id);
+      if (job !== null) return job;
+    }
+    return null;
+  }
+
   start(): void {
     const { view, log } = this.services;
     const keep = (name: string, work: Promise<unknown>): void => {
@@ -157,6 +177,7 @@
     keep("view", view.follow());
     keep("membership", this.membership.run());
     keep("types", this.fetchTypes());
+    keep("last words", this.frontDoor.awaited.follow());
   }
 
   async handle(request: Request): Promise<Response> {
--- a/src/coordination/decisions/eligibility.ts
+++ b/src/coordination/decisions/eligibility.ts
@@ -6,7 +6,10 @@
 import type { Picture } from "./picture.js";
 import { isReached } from "./reach.js";
 
-export const rankOf = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
+export const ownRank = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
+
+/** The highest of its own and of those of the jobs that need it. */
+export const rankOf = ({ rank }: Pick<Job, "rank">): number => rank;
 
 /** May the job use such a machine at all? */
 export const allows = (spec: JobSpec, typeName: string, zone: string, spot: boolean): boolean =>
--- a/src/coordination/decisions/order.ts
+++ b/src/coordination/decisions/order.ts
@@ -1,6 +1,5 @@
 import type { Job } from "../../bookkeeping/picture.js";
 import type { Team } from "../../settings/settings.js";
-import { seconds } from "../../transport/clock.js";
 import { weight } from "../placement/bfgp.js";
 import { rankOf } from "./eligibility.js";
 import type { Picture } from "./picture.js";
@@ -17,7 +16,7 @@
 export const waitingJobs = ({ block, now, settings, guaranteesShort }: Picture): Job[] => {
   const jobs: Job[] = [];
   for (const job of block.jobs.values()) {
-    if (job.cancelled || job.ending || job.retryAfter > now) continue;
+    if (job.cancelled || job.ending || job.blocked || job.retryAfter > now) continue;
     // Tasks of a large job come into being range by range; that adds to the picture without changing it.
     if (job.waiting.size === 0) block.openRange(job);
     if (job.waiting.size > 0 && mayTry(job, now) > 0) jobs.push(job);
@@ -26,14 +25,14 @@
   for (const type of block.types().values()) if (type.capacity.cpu > reference.cpu) reference = type.capacity;
   const keyed = jobs.map((job) => ({
     job,
-    rank: rankOf(job.spec),
+    rank: rankOf(job),
     borrowed: job.entitled ? 0 : block.withinGuarantee(job.spec) ? 1 : 2,
     // Where not all guarantees can be met, each team gets the same share of its own.
     fill:
       guaranteesShort && job.entitled ? shareUsed(block.teamUse(job.spec.team), settings.teams.get(job.spec.team)) : 0,
     size: weight(job.spec.demand, reference),
     short: job.spec.shape === "service" ? 1 - job.placed.size / job.spec.tasks : 0,
-    due: job.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : job.seenAt + seconds(job.spec.deadlineS),
+    due: job.dueAt ?? Number.MAX_SAFE_INTEGER,
   }));
   keyed.sort(
     (a, b) =>
--- a/src/coordination/decisions/promptness.ts
+++ b/src/coordination/decisions/promptness.ts
@@ -35,16 +35,16 @@
  * guarantee, or of a class that is to start within moments.
  */
 const isPrompt = (
-  { spec, entitled }: Pick<Job, "spec" | "entitled">,
+  { spec, entitled, rank }: Pick<Job, "spec" | "entitled" | "rank">,
   settings: Pick<Settings, "objectives" | "teams">,
 ): boolean => {
-  if (entitled || rankOf(spec) <= HIGH) return true;
+  if (entitled || rankOf({ rank }) <= HIGH) return true;
   const within = startWithin(spec, settings);
   return within !== null && within <= HURRY;
 };
 
 /** In which of the committer's queues the job's starts and ends wait. */
 export const laneOf = (
-  job: Pick<Job, "spec" | "entitled">,
+  job: Pick<Job, "spec" | "entitled" | "rank">,
   settings: Pick<Settings, "objectives" | "teams">,
 ): "prompt" | "work" => (isPrompt(job, settings) ? "prompt" : "work");
--- a/src/coordination/decisions/round.ts
+++ b/src/coordination/decisions/round.ts
@@ -133,6 +133,10 @@
     if (server === null) return task;
     assign(spec, server);
     run.taken(server);
+    if (!block.fitsRecord(task, server.machine.name)) {
+      yield { kind: "wait", job, reason: "records" };
+      return null;
+    }
     chosen.push(server);
   }
   const originals = new Map(floor.pools.flatMap(({ roomy }) => roomy.map((server) => [server.machine, server])));
@@ -172,6 +176,7 @@
   }
   const run = startRun(picture, job, floor, counts);
   const lane = laneOf(job, picture.settings);
+  let heldBack = 0;
   for (const task of tasks) {
     if (mayTry(job, now) === 0 || (lifted !== null && lifted.left < spec.demand.cpu)) return null;
     if (limitKept(floor.reservation, job) || !block.withinLimit(spec)) {
@@ -183,6 +188,11 @@
       noteFull(job, floor, now);
       return task;
     }
+    // The range's value would become larger than is taken: until some of it has ended, others of the job go on.
+    if (!block.fitsRecord(task, server.machine.name)) {
+      heldBack += 1;
+      continue;
+    }
     // Placed ahead of its record, a task only keeps room from those whose record is about to be written; that one
     // write takes along all that its range is given meanwhile.
     if (task.range.marked === null) {
@@ -198,7 +208,7 @@
     run.taken(server);
     if (lifted !== null) lifted.left -= spec.demand.cpu;
   }
-  return job.waiting.size === 0 && block.openRange(job) ? "more" : null;
+  return job.waiting.size === heldBack && block.openRange(job) ? "more" : null;
 }
 
 /**
--- a/src/coordination/decisions/shares.ts
+++ b/src/coordination/decisions/shares.ts
@@ -109,7 +109,7 @@
   const left = new Map<string, { cpu: number; gpu: number }>();
   // Jobs are kept in the order in which they were accepted.
   for (const job of block.jobs.values()) {
-    if (job.cancelled || job.ending) continue;
+    if (job.cancelled || job.ending || job.blocked) continue;
     const { team, tasks, demand } = job.spec;
     let share = left.get(team);
     if (share === undefined) {
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -18,6 +18,7 @@
 import { isJobId, type JobPhase, type JobSpec, phaseAnswer, readSubmission, statusAnswer } from "../protocol/user.js";
 import { type Micros, ms, seconds } from "../transport/clock.js";
 import type { Request, Response } from "../transport/http.js";
+import { Awaited, type LastWord, withoutAwaits } from "./awaited.js";
 import type { Services } from "./context.js";
 import { neverRuns } from "./decisions/eligibility.js";
 import { Lookups } from "./lookups.js";
@@ -28,7 +29,7 @@
 /** Beyond this wait for the write budget a submission is better told to come back. */
 const MAX_BACKLOG = ms(1_500);
 /** What a job's record holds beside its specification. */
-const RECORD_BYTES = 100;
+const RECORD_BYTES = 160;
 const CANCEL_TRIES = 4;
 /** Users give up after a minute in all, so nobody is told to stay away for long. */
 const MOST_WAIT = seconds(10);
@@ -66,6 +67,8 @@
   /** Of ranges as they stand in the view; gone with the entry itself. */
   private readonly counts = new WeakMap<Entry, { readonly done: number; readonly running: number }>();
   private readonly lookups: Lookups;
+  /** What the chains of jobs rest on. */
+  readonly awaited: Awaited;
   /** By class, when a job of it was last taken although there was room for none. */
   private readonly takenFull = new Map<string, Micros>();
   /** Up to when those turned away have been told to come back. */
@@ -79,6 +82,7 @@
     const { store, clock, log, settings } = services;
     const gap = gapFor(LOOKUP_SHARE, settings.state.rps, settings.controllers);
     this.lookups = new Lookups(store, clock, log, gap, (id, entry) => this.remember(id, readEnd(entry.value)));
+    this.awaited = new Awaited(services, (id) => this.lastWord(id));
   }
 
   async handle(request: Request): Promise<Response> {
@@ -142,7 +146,7 @@
   }
 
   private async submit(body: string): Promise<Response> {
-    const { committer, view, overload } = this.services;
+    const { committer, view, overload, wall } = this.services;
     let spec: JobSpec;
     try {
       spec = readSubmission(parseJson(body));
@@ -153,23 +157,24 @@
     if (!view.loaded || this.types.size === 0) return comeBack("machine types unknown");
     if (view.entries.has(jobKey(spec.id)) || this.ends.has(spec.id)) return this.status(spec.id);
     const refusal = this.refusal(spec, body);
-    if (refusal !== null) {
-      // What was accepted once, perhaps under other machine types, is never refused, and may have ended long ago.
-      const found = await this.find(spec.id);
-      if (found.kind === "unknown") return comeBack("state service unavailable");
-      return found.kind === "never" ? refusal : this.statusOf(spec.id, found);
-    }
+    if (refusal !== null) return this.unlessAccepted(spec.id, refusal);
     const full = overload.atLeast("full") || view.entries.has(fullKey(homeBlock(spec.team)));
     if (full && !this.takenAllTheSame(spec.jobClass)) return comeBack("overloaded", OVERLOAD_WAIT_S);
     if (committer.backlog > MAX_BACKLOG) return this.appointment();
-    const record: JobRecord = { spec, block: homeBlock(spec.team), cancelled: false };
+    const checked = await this.awaited.check(spec.awaits ?? []);
+    if (checked.kind === "never") {
+      return this.unlessAccepted(spec.id, answer(422, { error: `awaits: ${checked.id} was never accepted` }));
+    }
+    if (checked.kind === "unknown") return comeBack("state service unavailable");
+    const acceptedMs = wall === null ? {} : { acceptedMs: Math.round(wall()) };
+    // What awaits a job that was called off is accepted all the same, and called off with it.
+    const record: JobRecord = { spec, block: homeBlock(spec.team), cancelled: checked.withdrawn, ...acceptedMs };
+    const prepared = await this.awaited.prepare(record, this.valueBytes);
+    if (prepared === null) return comeBack("state service unavailable");
     const key = jobKey(spec.id);
     const result = await committer.propose(
-      new Map([
-        [key, 0],
-        [endKey(spec.id), 0],
-      ]),
-      [{ kind: "put", key, value: record }],
+      new Map([...prepared.conditions, [key, 0], [endKey(spec.id), 0]]),
+      [{ kind: "put", key, value: prepared.record }],
       "user",
     );
     switch (result.kind) {
@@ -177,23 +182,46 @@
         return answer(201, phaseAnswer(spec.id, "queued"));
       case "conflict":
         return this.status(spec.id);
+      case "too large":
+        return answer(400, { error: "job: too large" });
       case "refused":
       case "lost":
         return comeBack("state service unavailable");
     }
   }
 
+  /** What was accepted once, perhaps under other machine types, is never refused, and may have ended long ago. */
+  private async unlessAccepted(id: string, refusal: Response): Promise<Response> {
+    const found = await this.find(id);
+    if (found.kind === "unknown") return comeBack("state service unavailable");
+    return found.kind === "never" ? refusal : this.status(id);
+  }
+
   /** Why nothing like it is accepted, whoever asks. */
   private refusal(spec: JobSpec, body: string): Response | null {
     const { settings } = this.services;
     const never = neverRuns(spec, settings, this.types);
     if (never !== null) return answer(422, { error: never });
     // The state service would refuse the record however often it is sent.
-    const { valueBytes } = settings.state;
-    const tooLarge = body.length > valueBytes / 2 && formatJson(spec).length + RECORD_BYTES > valueBytes;
+    const most = this.valueBytes;
+    const tooLarge = body.length > most / 2 && formatJson(withoutAwaits(spec)).length + RECORD_BYTES > most;
     return tooLarge ? answer(400, { error: "job: too large" }) : null;
   }
 
+  private get valueBytes(): number {
+    const { committer, settings } = this.services;
+    return Math.min(settings.state.valueBytes, committer.valueBytes ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** A last word, or that there is none: nothing of what is current is looked at. */
+  private async lastWord(id: string): Promise<LastWord> {
+    const known = this.ends.get(id);
+    if (known !== undefined) return { kind: "ended", end: known };
+    const reply = await this.lookups.find(id);
+    if (reply.kind === "ok") return { kind: "ended", end: readEnd(reply.value.value) };
+    return { kind: reply.kind === "missing" ? "never" : "unknown" };
+  }
+
   /** No older than the question: what any controller has told anybody before is known to the answer. */
   private async find(id: string): Promise<Found> {
     const { view } = this.services;
@@ -202,9 +230,8 @@
     if (!(await view.sync())) return { kind: "unknown" };
     const entry = view.entries.get(jobKey(id));
     if (entry !== undefined) return { kind: "current", entry };
-    const reply = await this.lookups.find(id);
-    if (reply.kind === "ok") return { kind: "ended", end: readEnd(reply.value.value) };
-    if (reply.kind !== "missing") return { kind: "unknown" };
+    const word = await this.lastWord(id);
+    if (word.kind !== "never") return word;
     // Accepted while it was looked up: others may have been told so before this answer gets there.
     const since = view.entries.get(jobKey(id));
     return since === undefined ? { kind: "never" } : { kind: "current", entry: since };
@@ -218,7 +245,18 @@
   }
 
   private async status(id: string): Promise<Response> {
-    return this.statusOf(id, await this.find(id));
+    const found = await this.find(id);
+    // Withdrawn with a job that it needs is told from that one's last word, which has to be read first.
+    const settled = found.kind !== "current" || this.hasBegun(id) || (await this.awaited.settle(id));
+    if (!settled) return comeBack("state service unavailable");
+    if (found.kind !== "current") return this.statusOf(id, found);
+    const entry = this.services.view.entries.get(jobKey(id));
+    return this.statusOf(id, entry === undefined ? await this.find(id) : { kind: "current", entry });
+  }
+
+  /** Something of it has been placed: all that it awaits was on record as done. */
+  private hasBegun(id: string): boolean {
+    return this.services.view.entries.has(rangeKey(id, 0));
   }
 
   private statusOf(id: string, found: Found): Response {
--- a/src/coordination/jobs-feed.ts
+++ b/src/coordination/jobs-feed.ts
@@ -1,17 +1,17 @@
 import type { Job } from "../bookkeeping/picture.js";
 import { CURRENT, jobOfKey, rangeOfKey, readJob } from "../bookkeeping/records.js";
 import type { Change, Entry } from "../protocol/state.js";
+import type { Chained } from "./chained.js";
 import { type BlockContext, firstToken } from "./context.js";
 import type { Extension } from "./extension.js";
 import type { Observer } from "./observer.js";
 import type { Recorder } from "./recorder.js";
-import type { Rental } from "./rental.js";
 
 export interface JobsFeedAround {
   readonly context: BlockContext;
   readonly recorder: Pick<Recorder, "finish" | "sweep">;
   readonly observer: Pick<Observer, "gone">;
-  readonly rental: Pick<Rental, "learn">;
+  readonly chained: Pick<Chained, "added">;
   readonly extension: Extension | null;
   /** A round is due at once. */
   readonly wakeRound: () => void;
@@ -44,7 +44,11 @@
       if (entry === undefined) continue;
       // Without a job it is a leftover of one that ended.
       if (job === undefined) orphans.push(key);
-      else block.restoreRange(job, range, entry.version, entry.value, firstToken(this.around.context.lease) - 1);
+      else {
+        block.restoreRange(job, range, entry.version, entry.value, firstToken(this.around.context.lease) - 1);
+        // Whatever it awaited was on record as done before anything of it was placed.
+        job.blocked = false;
+      }
     }
     this.around.recorder.sweep(orphans.filter((key) => key.startsWith(CURRENT)));
     for (const job of block.jobs.values()) this.around.recorder.finish(job);
@@ -67,6 +71,12 @@
     this.withdraw(job);
   }
 
+  /** Needs a job that is cancelled. */
+  withdrawn(id: string): void {
+    const job = this.around.context.block.jobs.get(id);
+    if (job !== undefined && !job.cancelled) this.withdraw(job);
+  }
+
   private jobChanged(change: Change): void {
     const { block } = this.around.context;
     const id = jobOfKey(change.key) ?? "";
@@ -76,11 +86,13 @@
     const known = block.jobs.get(id);
     if (known === undefined) {
       const withdrawn = !record.cancelled && this.around.extension?.withdrawn(record.spec) === true;
-      const job = block.addJob(record.spec, change.version, record.cancelled || withdrawn);
+      const called = record.cancelled || withdrawn || this.around.context.chains.isWithdrawn(id);
+      const job = block.addJob(record.spec, change.version, called);
+      job.awaited = record.awaited ?? null;
+      this.around.chained.added(job, record.acceptedMs ?? null);
       job.why = withdrawn ? "graph" : (record.why ?? null);
       // While this controller was restoring, whoever restores calls `finish` for all; else nobody would.
       if (job.cancelled && this.restored) this.around.recorder.finish(job);
-      this.around.rental.learn(record.spec);
       this.around.context.sink?.({ kind: "job seen", spec: record.spec });
       this.around.wakeRound();
       return;
--- a/src/coordination/recorder.ts
+++ b/src/coordination/recorder.ts
@@ -3,6 +3,7 @@
   type EndRecord,
   endKey,
   jobKey,
+  rangeBytes,
   rangeKey,
   readRange,
   type TaskRecord,
@@ -19,6 +20,8 @@
 const NOTE_SHARE = 0.3;
 const NOTE_LEAST = seconds(0.5);
 const NOTE_MOST = seconds(15);
+/** Until a range whose value is too large is looked at again. */
+const TOO_LARGE = seconds(1);
 
 /** Ranges of ended jobs that may wait to be deleted. */
 const MOST_LEFT_OVER = 200;
@@ -118,6 +121,11 @@
       range.dirty = false;
       return;
     }
+    // Written before the limits were lowered: it can be read and ended, and is written again once enough of it is over.
+    if (rangeBytes(range.tasks.map((task) => task.want)) > context.committer.valueBytes) {
+      this.later(range, TOO_LARGE);
+      return;
+    }
     range.writing = true;
     const key = rangeKey(job.spec.id, range.index);
     const conditions = this.conditions(job).set(key, range.version);
@@ -148,6 +156,7 @@
         break;
       case "refused":
       case "lost":
+      case "too large":
         range.marked ??= markedAt;
         // A lost one may still come to be applied; the same condition lets only one of the two through.
         this.retry(range);
@@ -215,7 +224,7 @@
       return;
     }
     const written = job.ranges.filter((range) => range.version !== 0);
-    const here = written.slice(0, context.settings.state.transactionWrites - 2);
+    const here = written.slice(0, Math.max(0, context.committer.mostWrites - 2));
     const last = endKey(job.spec.id);
     const conditions = this.conditions(job).set(last, 0);
     const why = done || job.why === null ? {} : { why: job.why };
--- a/src/coordination/rounds.ts
+++ b/src/coordination/rounds.ts
@@ -87,6 +87,7 @@
 
   run(): void {
     if (!this.context.lease.valid()) return;
+    this.context.block.recordBytes = this.context.committer.valueBytes;
     const picture = this.picture(this.recordsLeft());
     this.ranAt = picture.now;
     for (const action of decideRound(picture, this.memory)) this.carryOut(action);
--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,12 +1,13 @@
 import { Block } from "../bookkeeping/block.js";
 import { newMachine } from "../bookkeeping/machines.js";
-import type { Machine } from "../bookkeeping/picture.js";
+import type { Job, Machine } from "../bookkeeping/picture.js";
 import { fullKey, TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { Change } from "../protocol/state.js";
 import type { Command, Report } from "../protocol/worker.js";
 import { type Micros, ms, seconds, type Timer } from "../transport/clock.js";
 import { describeError } from "../transport/log.js";
+import { Chained } from "./chained.js";
 import type { Cloud } from "./cloud.js";
 import { Commander } from "./commander.js";
 import { answerTokenOf, type BlockContext, type BlockLease, firstToken, type Services } from "./context.js";
@@ -69,6 +70,7 @@
   private readonly inquiries: Inquiries;
   private readonly watch: Watch;
   private readonly feed: JobsFeed;
+  private readonly chained: Chained;
   private readonly silences: Silences;
   private sayingFull = false;
   private readonly lanes: Lanes<Machine>;
@@ -86,7 +88,7 @@
     extension: Extension | null = null,
   ) {
     const { clock, settings } = services;
-    const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.valueBytes / BYTES_PER_TASK)));
+    const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(settings.state.layoutBytes / BYTES_PER_TASK)));
     const block = new Block(clock, rangeSize, settings.teams, () => types);
     this.takenAt = clock.now();
     this.summedAt = clock.now();
@@ -105,7 +107,11 @@
       inquire: (machine) => this.inquiries.add(machine),
       introduce: (machine) => this.inquiries.introduce(machine),
       mayStart: (machine) => this.silences.open(machine.zone),
-      ended: (job, end) => this.holding?.ended(job.spec, end),
+      ended: (job, end) => {
+        this.recorder.sweep(this.chained.partsOf(job));
+        this.chained.ended(job, end);
+        this.holding?.ended(job.spec, end);
+      },
       failed: (task, reason) => this.holding?.failed(task.job.spec, task.index, reason),
     };
     this.recorder = new Recorder(this.context);
@@ -134,11 +140,12 @@
       stopped: () => this.stopped,
       stillAsking: () => this.watch.stillAsking(),
     });
+    this.chained = new Chained(context, (job) => rental.learn(job.spec));
     this.feed = new JobsFeed({
       context,
+      chained: this.chained,
       recorder,
       observer,
-      rental,
       extension,
       wakeRound: () => this.wakeRound(0 as Micros),
     });
@@ -232,6 +239,10 @@
     return this.context.block.machines.get(machine)?.listing ?? null;
   }
 
+  jobAt(id: string): Job | null {
+    return this.context.block.jobs.get(id) ?? null;
+  }
+
   running(jobId: string): { done: number; running: number } | null {
     const job = this.context.block.jobs.get(jobId);
     if (job === undefined) return null;
@@ -264,6 +275,18 @@
     this.holding?.changed(change);
   }
 
+  /** The job is withdrawn with one that it needs. */
+  withdrawn(id: string): void {
+    if (this.stopped) return;
+    this.feed.withdrawn(id);
+    this.chained.withdrawn(id);
+  }
+
+  /** All that the job awaits is on record as done. */
+  mayBegin(id: string): void {
+    if (!this.stopped) this.chained.mayBegin(id);
+  }
+
   // Loops -------------------------------------------------------------------------------------------------
 
   private guard(work: Promise<unknown>): Promise<void> {
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -115,7 +115,7 @@
     this.clock = new HostClock(this.world, 1, 1);
     this.settings = settingsOf(spec, simulatedAddresses(spec.controllers.length), 0);
     this.types = new Map(readTypes(catalogOf(spec.types)).map((type) => [type.name, type]));
-    const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(this.settings.state.valueBytes / BYTES_PER_TASK)));
+    const rangeSize = Math.max(1, Math.min(MAX_RANGE, Math.floor(this.settings.state.layoutBytes / BYTES_PER_TASK)));
     this.block = new Block(this.clock, rangeSize, this.settings.teams, () => this.types);
     const { state } = this.settings;
     this.writer = new Writer(this.world, this.clock, state.writeRps * SHARE, state.transactionWrites);
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -253,6 +253,11 @@
     this.nodes[at]?.door?.freeze(forUs);
   }
 
+  /** The controller that runs there now. */
+  controllerAt(at: number): Controller | null {
+    return this.nodes[at]?.controller ?? null;
+  }
+
   nodeAddress(at: number): string {
     return this.addresses.controllers[at] ?? "";
   }
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -87,6 +87,14 @@
     this.refusedFor.set(from, this.world.now + forUs);
   }
 
+  /** A record from before, put there as it is. */
+  put(key: string, value: unknown): void {
+    this.epoch += 1;
+    this.items.set(key, { value, stamp: this.epoch, hold: null });
+    this.log.push({ set: key, value, stamp: this.epoch });
+    this.wake();
+  }
+
   value(key: string): unknown {
     return this.items.get(key)?.value;
   }
--- a/src/model/users.ts
+++ b/src/model/users.ts
@@ -26,6 +26,7 @@
   readonly saveEveryS: number;
   readonly saveTakesS: number;
   readonly dueS: number | null;
+  readonly awaits?: readonly string[];
 }
 
 /** What users ask and are told. */
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -25,6 +25,8 @@
   readonly checkpointS: number;
   readonly saveS: number;
   readonly deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  readonly awaits?: readonly string[];
   /** What the job is a part of, where it is one; never sent by users. */
   readonly origin?: Origin;
 }
@@ -88,6 +90,19 @@
   return value;
 };
 
+/** The jobs that have to be done first; null and none are the same. */
+const readAwaits = (fields: Fields, id: string): readonly string[] => {
+  const awaits = orNull(fields, "awaits", (f, name) => asArray(f[name], name)) ?? [];
+  const known = new Set<string>();
+  for (const entry of awaits) {
+    if (typeof entry !== "string" || !isJobId(entry)) throw new Malformed("awaits: not a list of job ids");
+    if (entry === id) throw new Malformed("awaits: names the job itself");
+    if (known.has(entry)) throw new Malformed(`awaits: ${entry} twice`);
+    known.add(entry);
+  }
+  return [...known];
+};
+
 /** Throws Malformed on anything that the protocol calls missing or invalid. */
 export const readSubmission = (body: unknown): JobSpec => {
   const fields = asObject(body, "job");
@@ -108,6 +123,7 @@
   );
   if (!Object.values(demand).every(Number.isSafeInteger)) throw new Malformed("cpus: out of range");
   if (demand.cpu === 0 && demand.gpu === 0 && demand.ram === 0) throw new Malformed("cpus: nothing asked for");
+  const awaits = readAwaits(fields, id);
   return {
     id,
     jobClass: readName(fields, "jobclass"),
@@ -127,6 +143,7 @@
     checkpointS: readAmount(fields, "saveEveryS"),
     saveS: readAmount(fields, "saveTakesS"),
     deadlineS: orNull(fields, "dueS", readAmount),
+    ...(awaits.length === 0 ? {} : { awaits }),
   };
 };
 
@@ -155,6 +172,7 @@
   saveEveryS: spec.checkpointS,
   saveTakesS: spec.saveS,
   dueS: spec.deadlineS,
+  ...(spec.awaits === undefined ? {} : { awaits: spec.awaits }),
 });
 
 export const phaseAnswer = (id: string, phase: JobPhase): Fields => ({ ref: id, phase: WIRE_PHASE[phase] });
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -43,8 +43,11 @@
   readonly state: {
     readonly rps: number;
     readonly writeRps: number;
+    /** Of the limits now and those announced (`state.next`) the lower ones, from the beginning: they come without notice. */
     readonly valueBytes: number;
     readonly transactionWrites: number;
+    /** How ranges of tasks are cut, which is not on record, follows from this limit for every version. */
+    readonly layoutBytes: number;
   };
   readonly cloud: { readonly rps: number; readonly listLag: Micros };
   readonly quota: { readonly memoryMb: number; readonly maxConnections: number };
@@ -100,6 +103,34 @@
 const asTable = (value: unknown, path: string): Table =>
   typeof value === "object" && value !== null ? (value as Table) : fail(path, "not a table");
 
+/** Lower limits that the state service will have from some moment on; what is not named stays as it is. */
+const readLimits = (state: Table): Settings["state"] => {
+  const path = "deployment.state.";
+  const nextPath = `${path}next.`;
+  const next = state.next === undefined ? {} : asTable(state.next, `${path}next`);
+  const lower = (name: string, own: number, least: number): number =>
+    next[name] === undefined ? own : Math.min(own, number(next, nextPath, name, least));
+  const valueKb = number(state, path, "value_kb", 1);
+  const transactionWrites = whole(state, path, "txn_ops");
+  return {
+    rps: lower("rps", number(state, path, "rps", 1), 1),
+    writeRps: lower("write_rps", number(state, path, "write_rps", 1), 1),
+    valueBytes: Math.floor(lower("value_kb", valueKb, LEAST_VALUE_KB) * 1_024),
+    transactionWrites:
+      next.txn_ops === undefined ? transactionWrites : Math.min(transactionWrites, lastWrites(next, nextPath)),
+    layoutBytes: Math.floor(valueKb * 1_024),
+  };
+};
+
+/** A job's specification has to fit, and its last word takes two writes at once. */
+const LEAST_VALUE_KB = 1;
+const LEAST_WRITES = 2;
+
+const lastWrites = (next: Table, path: string): number => {
+  const writes = whole(next, path, "txn_ops");
+  return writes >= LEAST_WRITES ? writes : fail(`${path}txn_ops`, `must be at least ${LEAST_WRITES}`);
+};
+
 const readTeam = (value: unknown, index: number): Team => {
   const path = `deployment.teams[${index}].`;
   const team = asTable(value, path);
@@ -171,12 +202,7 @@
       lease: span(workers, "deployment.workers.", "lease_s"),
       cancel: span(workers, "deployment.workers.", "cancel_s"),
     },
-    state: {
-      rps: number(state, "deployment.state.", "rps", 1),
-      writeRps: number(state, "deployment.state.", "write_rps", 1),
-      valueBytes: Math.floor(number(state, "deployment.state.", "value_kb", 1) * 1_024),
-      transactionWrites: whole(state, "deployment.state.", "txn_ops"),
-    },
+    state: readLimits(state),
     cloud: {
       rps: number(cloud, "deployment.cloud.", "rps", 0.1),
       listLag: span(cloud, "deployment.cloud.", "list_lag_s"),
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Chains } from "../src/bookkeeping/chains.js";
 import { endKey, jobKey } from "../src/bookkeeping/records.js";
 import type { Services } from "../src/coordination/context.js";
 import { FrontDoor } from "../src/coordination/front-door.js";
@@ -32,6 +33,7 @@
     },
     overload: { atLeast: () => false },
     committer: { backlog: 0 },
+    chains: new Chains(),
   } as unknown as Services;
   const types = new Map([["big", bigType(["east"])]]);
   const door = new FrontDoor(services, types, { running: () => null, holds: () => false, withdrawn: () => false });
--- /dev/null
+++ b/test/chains.test.ts
@@ -0,0 +1,232 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Chains } from "../src/bookkeeping/chains.js";
+import { endKey, jobKey } from "../src/bookkeeping/records.js";
+import { S } from "../src/model/index.js";
+import { Cluster, plainJob, type Submission } from "./sim/cluster.js";
+
+const link = (number: number, awaits: readonly number[], fields: Partial<Submission> = {}): Submission =>
+  plainJob(idOf(number), {
+    shards: 2,
+    cpus: 1,
+    sizeGb: 0.1,
+    rank: "best_effort",
+    ...(awaits.length === 0 ? {} : { awaits: awaits.map(idOf) }),
+    ...fields,
+  });
+const idOf = (number: number): string => `wk-${String(700_000 + number)}`;
+const RUN = { runUs: 5 * S };
+
+/** Submits the jobs one after the other, each as soon as those that it needs are accepted. */
+const submitInTurn = (cluster: Cluster, jobs: readonly Submission[], runUs = 5 * S): void => {
+  const wait = [...jobs];
+  const next = (): void => {
+    const accepted = new Set(cluster.checker.accepted());
+    while (wait[0]?.awaits === undefined || wait[0].awaits.every((id) => accepted.has(id))) {
+      const job = wait.shift();
+      if (job === undefined) return;
+      cluster.submit(job, { runUs });
+    }
+    cluster.world.after(S / 20, next);
+  };
+  next();
+};
+
+test("a job begins once all that it awaits is done, in a diamond as in a chain", async () => {
+  const cluster = new Cluster(31);
+  submitInTurn(cluster, [link(0, []), link(1, [0]), link(2, [0]), link(3, [1, 2]), link(4, [3])]);
+  await cluster.run(120 * S);
+  assert.deepEqual(cluster.unfinished(), []);
+  const first = (number: number): number =>
+    cluster.begun.find(({ task }) => task.startsWith(`${idOf(number)}/`))?.at ?? 0;
+  // Machines differ in speed by a tenth.
+  assert.ok(first(1) > first(0) + 4 * S && first(3) > Math.max(first(1), first(2)) + 4 * S);
+  assert.deepEqual(cluster.errors, []);
+});
+
+test("the checker sees a task that starts too early, and a job that outlives what it needs", async () => {
+  const early = new Cluster(32);
+  early.users.alter = (request) => {
+    if (request.method !== "POST" || request.target !== "/v2/runs") return request;
+    return { ...request, body: JSON.stringify({ ...(JSON.parse(request.body) as object), awaits: undefined }) };
+  };
+  submitInTurn(early, [link(0, []), link(1, [0])]);
+  await assert.rejects(early.run(60 * S), /too_early/);
+  const orphan = new Cluster(33);
+  submitInTurn(orphan, [link(0, []), link(1, [0])], 300 * S);
+  orphan.network.tamper = (from, _, { method, target }, response) =>
+    from === "user" && method === "GET" && target.endsWith(idOf(1))
+      ? { status: 200, body: JSON.stringify({ ref: idOf(1), phase: "pending" }) }
+      : response;
+  orphan.world.at(20 * S, () => orphan.users.cancel(idOf(0)));
+  await assert.rejects(orphan.run(120 * S), /orphaned/);
+});
+
+test("cancelling the middle of a chain takes what needs it along, however deep, and leaves what comes before it", async () => {
+  const cluster = new Cluster(34);
+  const jobs = [
+    link(0, []),
+    link(1, [0]),
+    link(2, [1]),
+    ...Array.from({ length: 40 }, (_, at) => link(3 + at, [2 + at])),
+  ];
+  submitInTurn(cluster, jobs, 20 * S);
+  await cluster.run(15 * S);
+  cluster.users.cancel(idOf(1));
+  await cluster.run(8 * S);
+  // Told at once by every node, whatever of it is on record by then.
+  for (const node of cluster.site.addresses.controllers) cluster.users.askOnce(idOf(42), node);
+  await cluster.run(2 * S);
+  assert.equal(cluster.checker.finalOf(idOf(42)), "withdrawn");
+  await cluster.run(60 * S);
+  assert.equal(cluster.checker.finalOf(idOf(0)), "done");
+  for (let at = 1; at < 43; at += 1) assert.notEqual(cluster.state.value(endKey(idOf(at))), undefined, idOf(at));
+});
+
+test("a job that names a cancelled one is accepted and withdrawn, one that names a done one begins", async () => {
+  const cluster = new Cluster(35);
+  cluster.submit(link(0, []), { runUs: 60 * S });
+  cluster.submit(link(1, []), RUN);
+  await cluster.run(30 * S);
+  cluster.users.cancel(idOf(0));
+  await cluster.run(10 * S);
+  submitInTurn(cluster, [link(2, [0]), link(3, [1]), link(4, [2, 3])]);
+  await cluster.run(50 * S);
+  assert.deepEqual(
+    [2, 3, 4].map((number) => cluster.checker.finalOf(idOf(number))),
+    ["withdrawn", "done", "withdrawn"],
+  );
+});
+
+test("a cancellation that is answered with done stops nothing after it", async () => {
+  const cluster = new Cluster(36);
+  cluster.submit(link(0, []), RUN);
+  await cluster.run(30 * S);
+  cluster.submit(link(1, [0]), { runUs: 30 * S });
+  cluster.users.cancel(idOf(0));
+  await cluster.run(60 * S);
+  assert.deepEqual([cluster.checker.finalOf(idOf(0)), cluster.checker.finalOf(idOf(1))], ["done", "done"]);
+});
+
+const ask = async (cluster: Cluster, body: object, node = 0): Promise<readonly [number, string]> => {
+  let answer: readonly [number, string] = [0, ""];
+  const request = { method: "POST", target: "/v2/runs", body: JSON.stringify(body) };
+  const controller = cluster.site.controllerAt(node);
+  void controller?.handle(request).then(({ status, body: text }) => {
+    answer = [status, text];
+  });
+  await cluster.run(4 * S);
+  return answer;
+};
+
+test("a list of awaited jobs that is wrong is answered in one line that names the field", async () => {
+  const cluster = new Cluster(37);
+  cluster.submit(link(0, []), { runUs: 100 * S });
+  await cluster.run(10 * S);
+  const job = link(1, []);
+  const wrong: [unknown, number, RegExp][] = [
+    ["wk-700000", 400, /^awaits: not a list$/],
+    [["x"], 400, /^awaits: not a list of job ids$/],
+    [[7], 400, /^awaits: not a list of job ids$/],
+    [[idOf(0), idOf(0)], 400, /^awaits: wk-700000 twice$/],
+    [[idOf(1)], 400, /^awaits: names the job itself$/],
+    [[idOf(0), idOf(9)], 422, /^awaits: wk-700009 was never accepted$/],
+  ];
+  for (const [awaits, status, says] of wrong) {
+    const [got, text] = await ask(cluster, { ...job, awaits });
+    assert.equal(got, status, text);
+    assert.match((JSON.parse(text) as { error: string }).error, says);
+  }
+  // Accepted through another node a moment before.
+  const [first] = await ask(cluster, link(2, []), 1);
+  assert.equal(first, 201);
+  assert.equal((await ask(cluster, link(3, [2]), 2))[0], 201);
+  // A repeat is answered with the state, whatever it names by then.
+  assert.equal((await ask(cluster, { ...link(3, []), awaits: [idOf(99)] }, 0))[0], 200);
+  cluster.state.outage(20 * S);
+  assert.equal((await ask(cluster, { ...job, awaits: [idOf(9)] }))[0], 503);
+});
+
+test("a list too long for one value is kept in parts, survives a takeover, and goes with its job", async () => {
+  const cluster = new Cluster(38);
+  const count = 900;
+  for (let number = 0; number < count; number += 1) {
+    // All but one have ended long ago.
+    cluster.state.put(endKey(idOf(number)), { phase: "done", done: 2 });
+    cluster.checker.jobs.set(idOf(number), { ...never0, id: idOf(number) });
+    for (const at of [0, 1]) cluster.checker.taskDone(`${idOf(number)}/${at}`);
+  }
+  cluster.submit(link(count, []), { runUs: 60 * S });
+  await cluster.run(15 * S);
+  const all = Array.from({ length: count + 1 }, (_, number) => number);
+  cluster.submit(link(2_000, all), RUN);
+  await cluster.run(25 * S);
+  const parts = (): number => cluster.state.keys("c/awaits/").length;
+  assert.ok(parts() > 1, `${parts()} parts`);
+  for (const key of cluster.state.keys("c/awaits/")) {
+    assert.ok(JSON.stringify(cluster.state.value(key)).length <= 8 * 1_024);
+  }
+  cluster.crash(cluster.holder(), 2 * S);
+  await cluster.run(100 * S);
+  assert.equal(cluster.checker.finalOf(idOf(2_000)), "done");
+  await cluster.run(30 * S);
+  assert.equal(parts(), 0);
+  assert.equal(cluster.state.value(jobKey(idOf(2_000))), undefined);
+});
+
+const never0 = {
+  id: "",
+  team: "open",
+  service: false,
+  tasks: 2,
+  cpus: 1,
+  types: null,
+  zone: null,
+  together: false,
+  spread: false,
+  spot: false,
+  jobClass: "batch",
+};
+
+test("what is told of a chain follows from records alone, in any order in which they are learnt", () => {
+  // Accept, end and cancel in all orders that records allow, read in any order by two nodes.
+  const chains = new Chains();
+  const withdrawn: string[] = [];
+  const begin: string[] = [];
+  chains.onWithdrawn = (id) => withdrawn.push(id);
+  chains.onMayBegin = (id) => begin.push(id);
+  chains.put("b", ["a"], false);
+  assert.deepEqual(chains.questions(), ["a"]);
+  chains.put("a", [], false);
+  assert.deepEqual(chains.questions(), []);
+  assert.equal(chains.mayBegin("b"), false);
+  chains.put("c", ["b", "a"], false);
+  chains.remove("a");
+  assert.deepEqual(chains.questionsOf("c"), ["a"]);
+  chains.learn("a", "done");
+  assert.deepEqual([begin, chains.mayBegin("b"), chains.mayBegin("c")], [["b"], true, false]);
+  chains.put("b", ["a"], true);
+  assert.deepEqual([withdrawn, chains.isWithdrawn("c"), chains.isWithdrawn("b")], [["c"], true, true]);
+  chains.remove("b");
+  chains.put("d", ["c"], false);
+  assert.equal(chains.isWithdrawn("d"), true);
+  // A chain of a hundred thousand, walked without recursion.
+  const deep = new Chains();
+  for (let at = 0; at < 100_000; at += 1) deep.put(`j${at}`, at === 0 ? [] : [`j${at - 1}`], false);
+  deep.put("j0", [], true);
+  assert.equal(deep.isWithdrawn("j99999"), true);
+});
+
+test("a job counts with the rank of those that need it, for as long as they do, and with the time that they leave it", async () => {
+  const cluster = new Cluster(39);
+  const due = { rank: "high", dueS: 300, guessS: 10 } as const;
+  submitInTurn(cluster, [link(0, [], { guessS: 20 }), link(1, [0], { guessS: 30 }), link(2, [1], due)], 60 * S);
+  await cluster.run(20 * S);
+  const job = (number: number) => cluster.site.controllerAt(cluster.holder())?.jobAt(idOf(number));
+  assert.deepEqual([job(0)?.rank, job(1)?.rank, job(2)?.rank], [1, 1, 1]);
+  const [first, second, last] = [0, 1, 2].map((number) => job(number)?.dueAt ?? 0);
+  assert.ok(first === (second ?? 0) - 30 * S && second === (last ?? 0) - 10 * S, `${first} ${second} ${last}`);
+  cluster.users.cancel(idOf(2));
+  await cluster.run(10 * S);
+  assert.deepEqual([job(0)?.rank, job(0)?.dueAt], [3, null]);
+});
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -97,6 +97,7 @@
   spot: job.loaner,
   jobClass: job.jobclass,
   gang: job.shape === "ensemble",
+  ...(job.awaits === undefined ? {} : { awaits: job.awaits }),
 });
 
 /** Images of the tests' jobs are of 3 GB at most, fetched at 1 GB a second, give or take a third, several at once. */
