--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -45,6 +45,7 @@
 const after = (prefix: string, key: string): string | null =>
   key.startsWith(prefix) ? key.slice(prefix.length) : null;
 export const jobOfKey = (key: string): string | null => after("c/job/", key);
+export const jobOfAwaitedKey = (key: string): string | null => after("c/awaits/", key)?.split("/")[0] ?? null;
 export const memberOfKey = (key: string): string | null => after("c/member/", key);
 export const rangeOfKey = (key: string): { id: string; range: number } | null => {
   const rest = after("c/range/", key);
--- a/src/coordination/jobs-feed.ts
+++ b/src/coordination/jobs-feed.ts
@@ -1,12 +1,16 @@
 import type { Job } from "../bookkeeping/picture.js";
-import { CURRENT, jobOfKey, rangeOfKey, readJob } from "../bookkeeping/records.js";
+import { CURRENT, jobKey, jobOfAwaitedKey, jobOfKey, rangeOfKey, readJob } from "../bookkeeping/records.js";
 import type { Change, Entry } from "../protocol/state.js";
+import { seconds } from "../transport/clock.js";
 import type { Chained } from "./chained.js";
 import { type BlockContext, firstToken } from "./context.js";
 import type { Extension } from "./extension.js";
 import type { Observer } from "./observer.js";
 import type { Recorder } from "./recorder.js";
 
+/** Nobody who submits waits for longer than a minute, and no transaction is as late as this. */
+const LIST_LEFT = seconds(600);
+
 export interface JobsFeedAround {
   readonly context: BlockContext;
   readonly recorder: Pick<Recorder, "finish" | "sweep">;
@@ -52,6 +56,7 @@
     }
     this.around.recorder.sweep(orphans.filter((key) => key.startsWith(CURRENT)));
     for (const job of block.jobs.values()) this.around.recorder.finish(job);
+    this.dropLists();
     this.restored = true;
     log.info("block taken", {
       block: this.around.context.lease.block,
@@ -60,6 +65,31 @@
     });
   }
 
+  /**
+   * Parts of a list whose job was never accepted, or has ended. An acceptance is conditional on the parts' versions, so that one
+   * that comes late can't stand without them; only what has lain there for long is taken, since one may be under way.
+   */
+  private dropLists(): void {
+    const { view, clock, committer, lease } = this.around.context;
+    const left = [...view.entries.values()].filter(({ key }) => {
+      const id = jobOfAwaitedKey(key);
+      return id !== null && !view.entries.has(jobKey(id));
+    });
+    if (left.length === 0) return;
+    clock.after(LIST_LEFT, () => {
+      for (const { key, version } of left) {
+        const id = jobOfAwaitedKey(key) ?? "";
+        if (!lease.valid() || view.entries.get(key)?.version !== version || view.entries.has(jobKey(id))) continue;
+        const conditions = new Map([
+          [lease.key, lease.version],
+          [key, version],
+          [jobKey(id), 0],
+        ]);
+        void committer.propose(conditions, [{ kind: "delete", key }], "upkeep");
+      }
+    });
+  }
+
   changed(change: Change): void {
     if (jobOfKey(change.key) !== null) this.jobChanged(change);
   }
--- a/src/model/network.ts
+++ b/src/model/network.ts
@@ -78,6 +78,9 @@
   /** Lets a test change what is said, to see that the checker notices. */
   tamper: ((from: string, to: string, request: Request, response: Response) => Response) | null = null;
 
+  /** Lets a test change what is sent, as an older program would have written it. */
+  rewrite: ((from: string, to: string, request: Request) => Request) | null = null;
+
   onRequest: ((from: string, to: string, request: Request) => void) | null = null;
 
   constructor(
@@ -187,7 +190,10 @@
   }
 
   client(from: string, clock: HostClock): HttpClient {
-    return { call: (address, request, timeout) => this.call(from, clock, address, request, timeout) };
+    return {
+      call: (address, request, timeout) =>
+        this.call(from, clock, address, this.rewrite?.(from, address, request) ?? request, timeout),
+    };
   }
 
   private call(from: string, clock: HostClock, to: string, request: Request, timeout: Micros): Promise<Outcome> {
--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -79,7 +79,7 @@
   private readonly watch: SiteWatch;
   readonly wires: SimWires;
   private readonly nodes: Node[];
-  private readonly settings: readonly Settings[];
+  private readonly settings: Settings[];
 
   constructor(readonly setup: SiteSetup) {
     const { spec, seed } = setup;
@@ -248,6 +248,12 @@
     this.world.after(backAfterUs, () => this.start(at));
   }
 
+  /** Its process ends and comes back with these settings, as another version of the program would read them. */
+  restartWith(at: number, settings: Settings, backAfterUs = RESTART_US): void {
+    this.settings[at] = settings;
+    this.crash(at, backAfterUs);
+  }
+
   /** The process stands still while its clocks run on; only where its bounds are modelled. */
   freeze(at: number, forUs: number): void {
     this.nodes[at]?.door?.freeze(forUs);
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -50,7 +50,7 @@
   constructor(
     private readonly world: Timeline,
     private readonly random: Random,
-    private readonly limits: { rps: number; writeRps: number; txnOps: number; valueBytes: number },
+    private limits: { rps: number; writeRps: number; txnOps: number; valueBytes: number },
     private readonly keep = 10_000,
   ) {
     this.tenth();
@@ -87,6 +87,14 @@
     this.refusedFor.set(from, this.world.now + forUs);
   }
 
+  /** From now on, without notice; what is stored stays readable. */
+  lower(limits: Partial<{ rps: number; writeRps: number; txnOps: number; valueBytes: number }>): void {
+    this.limits = { ...this.limits, ...limits };
+  }
+
+  /** Transactions refused for their size. */
+  tooLarge = 0;
+
   /** A record from before, put there as it is. */
   put(key: string, value: unknown): void {
     this.epoch += 1;
@@ -182,13 +190,19 @@
 
   private apply(body: string): Response {
     const { if: conditions, writes } = JSON.parse(body) as Transaction;
-    if (writes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) return json(400, {});
+    if (writes.length > this.limits.txnOps || conditions.length > 4 * this.limits.txnOps) {
+      this.tooLarge += 1;
+      return json(400, {});
+    }
     this.writes += writes.length;
     this.asked += writes.length;
     if (this.writes > this.limits.writeRps) return json(429, {});
     for (const write of writes) {
       if (!("set" in write)) continue;
-      if (JSON.stringify(write.value).length > this.limits.valueBytes) return json(400, { error: "value too large" });
+      if (JSON.stringify(write.value).length > this.limits.valueBytes) {
+        this.tooLarge += 1;
+        return json(400, { error: "value too large" });
+      }
       if (write.hold !== undefined && !this.holds.has(write.hold)) return json(400, { error: "no such lease" });
     }
     const failed = conditions.filter(({ k, stamp }) => this.stampOf(k) !== stamp).map(({ k }) => k);
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -80,7 +80,7 @@
 };
 
 /** The settings of the fixtures, with the model's addresses in them. */
-const settingsAt = (index: number, alter: (text: string) => string): string =>
+export const settingsAt = (index: number, alter: (text: string) => string): string =>
   alter(settingsText(index)).replace("10.2.0.2:8443", "10.0.1.2:8443").replace("10.2.0.1:2379", "10.0.1.1:2379");
 
 /** What the checker is to know of a job. */
@@ -145,7 +145,8 @@
     // Not altered: a test may hand the controllers a wrong limit to see the checker notice.
     for (const team of parseSettings(settingsText(0)).teams.values())
       if (team.limit.cpu !== null) limits.set(team.name, team.limit.cpu / 1_000);
-    const spec = siteOf(alter(settingsText(0)));
+    // Announced limits are not in force yet: a test lowers them when it wants to.
+    const spec = siteOf(alter(settingsText(0)).replace(/\[deployment\.state\.next\][^[]*/, ""));
     const truth = parseSettings(alter(settingsText(0)));
     let checker: Checker | null = null;
     this.site = new Site({
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,273 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  readBlock,
+  readEnd,
+  readJob,
+  readMember,
+  readRange,
+  readSilence,
+  writeRange,
+} from "../src/bookkeeping/records.js";
+import { S } from "../src/model/index.js";
+import { parseSettings } from "../src/settings/settings.js";
+import type { Request } from "../src/transport/http.js";
+import { settingsText } from "./fixtures.js";
+import { Cluster, plainJob, type Submission, settingsAt } from "./sim/cluster.js";
+import { longJobs } from "./sim/meetings.js";
+import { settled, type Trouble } from "./sim/night.js";
+
+/** Limits that the state service will have from some moment on. */
+const NEXT = "[deployment.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 6\n\n[deployment.cloud]";
+const next = (text: string): string => text.replace("[deployment.cloud]", NEXT);
+const LOWER = { writeRps: 28, valueBytes: 2_048, txnOps: 6 };
+
+// What both versions share, as the old one wrote it (docs/compatibility.md) ---------------------------------------------
+
+const SPEC =
+  '{"id":"wk-000412","jobClass":"train","team":"vision","shape":"array","priority":"high","tasks":16,"demand":{"cpu":8000,"gpu":1000,"ram":64000},"types":["g8"],"zone":null,"oneZone":true,"spread":false,"spot":true,"image":"img-07","imageGb":6.2,"estimateS":240,"checkpointS":30,"saveS":4,"deadlineS":900}';
+
+test("records of the old version are read as they were meant", () => {
+  const job = readJob(JSON.parse(`{"spec":${SPEC},"block":0,"cancelled":true}`));
+  assert.deepEqual(job, { spec: JSON.parse(SPEC), block: 0, cancelled: true });
+  assert.deepEqual(readRange(JSON.parse('{"t":[0,3,-1,[2,"n-000231"]]}')), [
+    { kind: "waiting", attempt: 0 },
+    { kind: "waiting", attempt: 3 },
+    { kind: "done" },
+    { kind: "placed", attempt: 2, machine: "n-000231" },
+  ]);
+  assert.deepEqual(readEnd(JSON.parse('{"phase":"cancelled","done":3,"why":"error"}')), {
+    phase: "cancelled",
+    done: 3,
+    why: "error",
+  });
+  assert.deepEqual(readMember(JSON.parse('{"lease":7,"incarnation":"abc"}')), { lease: 7, incarnation: "abc" });
+  const block = { label: "ctl-1", incarnation: "abc", number: 12 };
+  assert.deepEqual(readBlock(JSON.parse(JSON.stringify(block))), block);
+  assert.deepEqual(readSilence(JSON.parse('{"number":4,"zones":{"east":1700000000000}}')), {
+    number: 4,
+    zones: { east: 1_700_000_000_000 },
+  });
+});
+
+test("what the new version writes is what the old one reads, and more only where the old one never looks", async () => {
+  const cluster = new Cluster(51, {}, next);
+  cluster.submit(plainJob("wk-000001", { dueS: 100 }), { runUs: 200 * S });
+  cluster.submit(plainJob("wk-000002"), { runUs: 3 * S });
+  await cluster.run(40 * S);
+  const keysOf = (key: string): readonly string[] => Object.keys(cluster.state.value(key) as object).sort();
+  assert.deepEqual(keysOf("c/job/wk-000001"), ["acceptedMs", "block", "cancelled", "spec"]);
+  const { spec } = cluster.state.value("c/job/wk-000001") as { spec: object };
+  assert.deepEqual(Object.keys(spec).sort(), Object.keys(JSON.parse(SPEC)).sort());
+  assert.deepEqual(keysOf("c/range/wk-000001/0"), ["t"]);
+  assert.deepEqual(keysOf("e/wk-000002"), ["done", "phase"]);
+  assert.deepEqual(keysOf("c/block/0"), ["incarnation", "label", "number"]);
+  assert.deepEqual(keysOf("c/member/ctl-0"), ["incarnation", "lease"]);
+  const kinds = new Set(cluster.state.keys("c/").map((key) => key.split("/")[1]));
+  assert.deepEqual([...kinds].sort(), ["block", "job", "leader", "member", "number", "range", "types"]);
+  assert.deepEqual(writeRange([{ kind: "placed", attempt: 2, machine: "n-1" }]), { t: [[2, "n-1"]] });
+});
+
+// Side by side ----------------------------------------------------------------------------------------------------------
+
+/** A controller that knows nothing of `awaits`, of lower limits or of any field that came with them. */
+const asOld = (request: Request): Request => {
+  if (request.target !== "/txn") return request;
+  const transaction = JSON.parse(request.body) as { writes: { set?: string; value?: Record<string, unknown> }[] };
+  for (const { set, value } of transaction.writes) {
+    if (set?.startsWith("c/awaits/") === true) throw new Error("a list of awaited jobs of the old version");
+    if (set?.startsWith("c/job/") !== true || value === undefined) continue;
+    delete value.acceptedMs;
+    delete value.awaited;
+  }
+  return { ...request, body: JSON.stringify(transaction) };
+};
+
+interface Rollout {
+  readonly cluster: Cluster;
+  /** That process ends and comes back new. */
+  upgrade(at: number): void;
+  isNew(at: number): boolean;
+}
+
+/** Three old controllers under the new settings page, of which they know what the old version knew. */
+const rollout = (seed: number, mesh: boolean, altered = next): Rollout => {
+  const cluster = new Cluster(seed, { mesh }, next);
+  const upgraded = new Set<number>();
+  const { controllers } = cluster.site.addresses;
+  // From their first moment on: nothing has happened yet.
+  for (const at of [0, 1, 2]) cluster.site.restartWith(at, parseSettings(settingsAt(at, (text) => text)), 1);
+  cluster.network.rewrite = (from, _to, request) => {
+    const at = controllers.indexOf(from);
+    return at < 0 || upgraded.has(at) ? request : asOld(request);
+  };
+  return {
+    cluster,
+    upgrade: (at) => {
+      upgraded.add(at);
+      cluster.site.restartWith(at, parseSettings(settingsAt(at, altered)));
+    },
+    isNew: (at) => upgraded.has(at),
+  };
+};
+
+const stream = (cluster: Cluster, from: number, until: number): void => {
+  let number = 0;
+  const more = (): void => {
+    number += 1;
+    const ref = `wk-${String(number).padStart(6, "0")}`;
+    cluster.submit(plainJob(ref, { shards: 1 + (number % 4), cpus: 1, loaner: true }), { runUs: 6 * S });
+    if (number % 5 === 0) cluster.world.after(2 * S, () => cluster.users.cancel(ref));
+    if (cluster.world.now < until) cluster.world.after(S, more);
+  };
+  cluster.world.at(from, more);
+};
+
+/** Chains of five with a diamond, one every four seconds, some of them called off. */
+const chainsOf = (cluster: Cluster, from: number, until: number): readonly string[] => {
+  const last: string[] = [];
+  let number = 0;
+  const id = (stage: number): string => `wk-${60 + stage}${String(number).padStart(4, "0")}`;
+  const more = (): void => {
+    number += 1;
+    const stages: Submission[] = [
+      plainJob(id(0), { shards: 3, cpus: 1, sizeGb: 0.1, rank: "best_effort" }),
+      plainJob(id(1), { shards: 2, cpus: 1, sizeGb: 0.1, rank: "best_effort", awaits: [id(0)] }),
+      plainJob(id(2), { shards: 2, cpus: 1, sizeGb: 0.1, owner: "capped", awaits: [id(0)] }),
+      plainJob(id(3), { shards: 1, cpus: 1, sizeGb: 0.1, rank: "high", dueS: 90, awaits: [id(1), id(2)] }),
+    ];
+    last.push(id(3));
+    const middle = number % 5 === 0 ? id(1) : null;
+    const submit = (): void => {
+      const accepted = new Set(cluster.checker.accepted());
+      while (stages[0]?.awaits === undefined || stages[0].awaits.every((ref) => accepted.has(ref))) {
+        const stage = stages.shift();
+        if (stage === undefined) return;
+        cluster.submit(stage, { runUs: 4 * S });
+        if (stage.ref === middle) cluster.world.after(cluster.random.int(0, 9 * S), () => cluster.users.cancel(middle));
+      }
+      cluster.world.after(S / 10, submit);
+    };
+    submit();
+    if (cluster.world.now < until) cluster.world.after(4 * S, more);
+  };
+  cluster.world.at(from, more);
+  return last;
+};
+
+const UPGRADES: Readonly<Record<string, (r: Rollout) => void>> = {
+  "one by one": ({ cluster, upgrade }) => {
+    for (const at of [0, 1, 2]) cluster.world.at((40 + at * 12) * S, () => upgrade(at));
+  },
+  "the holder first, then takeovers old to new and back": ({ cluster, upgrade, isNew }) => {
+    cluster.world.at(40 * S, () => upgrade(cluster.holder()));
+    for (const at of [50, 58]) cluster.world.at(at * S, () => cluster.crash(cluster.holder(), 2 * S));
+    for (const at of [0, 1, 2]) cluster.world.at((66 + at * 4) * S, () => (isNew(at) ? undefined : upgrade(at)));
+  },
+  "one dies before its turn and comes back old, a state outage in the middle": ({ cluster, upgrade }) => {
+    cluster.world.at(40 * S, () => upgrade(0));
+    cluster.world.at(44 * S, () => cluster.crash(1, 2 * S));
+    cluster.world.at(48 * S, () => cluster.state.outage(12 * S));
+    cluster.world.at(55 * S, () => upgrade(2));
+    cluster.world.at(70 * S, () => upgrade(1));
+  },
+};
+
+const TROUBLES: Readonly<Record<string, Trouble>> = {
+  "no trouble": () => undefined,
+  "writes late": (c) => c.world.at(42 * S, () => c.state.lateWrites(0.2, 60 * S)),
+  "a zone cut, the holder ends": (c) => {
+    c.world.at(60 * S, () => c.site.cutZone("west", 30 * S, "hold"));
+    c.world.at(100 * S, () => c.crash(c.holder(), 3 * S));
+    c.world.at(112 * S, () => c.crash(c.holder(), 0.5 * S));
+  },
+  "answers lost, an outage while chains go on": (c) => {
+    c.world.at(95 * S, () => c.state.loseAnswers(0.3, 30 * S));
+    c.world.at(125 * S, () => c.state.outage(20 * S));
+  },
+};
+
+for (const [way, [name, upgrade]] of Object.entries(UPGRADES).entries()) {
+  for (const [at, [other, trouble]] of Object.entries(TROUBLES).entries()) {
+    test(`both versions serve side by side: ${name}; ${other}; then chains and lower limits`, async () => {
+      const r = rollout(61 + way * 4 + at, (way + at) % 2 === 0);
+      const { cluster } = r;
+      cluster.rooms.ordinary = 12;
+      longJobs(cluster);
+      stream(cluster, 5 * S, 140 * S);
+      upgrade(r);
+      trouble(cluster);
+      const last = chainsOf(cluster, 84 * S, 140 * S);
+      cluster.world.at(105 * S, () => cluster.state.lower(LOWER));
+      await cluster.run(160 * S);
+      for (const node of [0, 1, 2]) assert.ok(r.isNew(node), "not all are new");
+      cluster.checker.calmFrom = cluster.world.now;
+      await cluster.run(170 * S);
+      settled(cluster);
+      assert.deepEqual(cluster.errors, []);
+      const finals = last.map((id) => cluster.checker.finalOf(id));
+      assert.ok(finals.includes("done") && finals.includes("withdrawn"), finals.join());
+      assert.deepEqual(
+        finals.filter((final) => final === null),
+        [],
+      );
+      assert.equal(cluster.state.tooLarge, 0, "sent something that is larger than it may be");
+    });
+  }
+}
+
+test("a record of the old version that is larger than the new limit is read, shrinks and ends", async () => {
+  const r = rollout(81, false, (text) => next(text).replace("value_kb = 2.0", "value_kb = 1.0"));
+  const { cluster, upgrade } = r;
+  cluster.rooms.ordinary = 60;
+  cluster.cloud.boots = { never: 0, late: 0, early: 0 };
+  const large = plainJob("wk-000001", { shards: 150, cpus: 1, sizeGb: 0.1, guessS: 60 });
+  cluster.submit(large, { runUs: 60 * S });
+  cluster.submit(plainJob("wk-000002", { shards: 150, cpus: 1, sizeGb: 0.1, guessS: 300 }), { runUs: 400 * S });
+  await cluster.run(50 * S);
+  const bytes = JSON.stringify(cluster.state.value("c/range/wk-000001/0")).length;
+  assert.ok(bytes > 1_024, `${bytes} bytes`);
+  for (const at of [0, 1, 2]) upgrade(at);
+  await cluster.run(10 * S);
+  cluster.state.lower({ ...LOWER, valueBytes: 1_024 });
+  cluster.submit(plainJob("wk-000003", { shards: 40, cpus: 1, sizeGb: 0.1 }), { runUs: 5 * S });
+  await cluster.run(20 * S);
+  // The long one is called off while its record can't be written again as it is.
+  cluster.users.cancel("wk-000002");
+  await cluster.run(120 * S);
+  for (const id of ["wk-000001", "wk-000003"]) assert.equal(cluster.checker.finalOf(id), "done", id);
+  assert.equal(cluster.checker.finalOf("wk-000002"), "withdrawn");
+  assert.equal(cluster.state.value("c/job/wk-000002"), undefined);
+});
+
+test("limits that are lower than anybody said are learnt, and nothing is sent again as it is", async () => {
+  const cluster = new Cluster(82);
+  cluster.rooms.ordinary = 40;
+  stream(cluster, 5 * S, 60 * S);
+  cluster.submit(plainJob("wk-900001", { shards: 100, cpus: 1, sizeGb: 0.1, guessS: 30 }), { runUs: 30 * S });
+  await cluster.run(15 * S);
+  cluster.state.lower({ valueBytes: 1_000, txnOps: 4 });
+  cluster.submit(plainJob("wk-900002", { shards: 120, cpus: 1, sizeGb: 0.1, guessS: 30 }), { runUs: 10 * S });
+  await cluster.run(150 * S);
+  settled(cluster);
+  assert.ok(cluster.state.tooLarge > 0 && cluster.state.tooLarge < 60, `${cluster.state.tooLarge} refused`);
+});
+
+test("settings: the lower limits hold, and what leaves too little is refused with the field's name", () => {
+  const { state } = parseSettings(next(settingsText(0)));
+  assert.deepEqual(state, {
+    rps: 150,
+    writeRps: 28,
+    valueBytes: 2_048,
+    transactionWrites: 6,
+    layoutBytes: 8_192,
+  });
+  assert.equal(parseSettings(next(settingsText(0)).replace("write_rps = 28.0", "write_rps = 90.0")).state.writeRps, 40);
+  for (const [from, to, says] of [
+    ["value_kb = 2.0", "value_kb = 0.5", /deployment\.state\.next\.value_kb: must be at least 1$/],
+    ["txn_ops = 6", "txn_ops = 1", /deployment\.state\.next\.txn_ops: must be at least 2$/],
+    ["write_rps = 28.0", "write_rps = 0.2", /deployment\.state\.next\.write_rps: must be at least 1$/],
+  ] as const) {
+    assert.throws(() => parseSettings(next(settingsText(0)).replace(from, to)), says);
+  }
+});
