--- a/src/model/users.ts
+++ b/src/model/users.ts
@@ -166,6 +166,11 @@
     );
   }
 
+  /** As `cancel`, but not where the job has not been accepted by now. */
+  cancelIfAccepted(id: string): void {
+    if (this.accepted.has(id)) this.cancel(id);
+  }
+
   cancel(id: string): void {
     if (!this.accepted.has(id)) {
       // Users cancel what they know to be accepted; an earlier 404 could arrive after the acceptance.
--- /dev/null
+++ b/test/chain-orders.test.ts
@@ -0,0 +1,174 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Chains, type Ended } from "../src/bookkeeping/chains.js";
+
+/**
+ * All orders of what may happen to three jobs, of which the second awaits the first and the third both: checks before acceptance
+ * and acceptances carried out later, cancellations, begins and ends decided by a holder that may be behind, takeovers. After each step
+ * what any node would tell is held against what has been told before. By hand: RAINRIDGE_DEPTH=12.
+ */
+const DEPTH = Number(process.env.RAINRIDGE_DEPTH ?? 8);
+
+const AWAITS: Readonly<Record<string, readonly string[]>> = { a: [], b: ["a"], c: ["a", "b"] };
+const JOBS = Object.keys(AWAITS);
+
+type Records = Readonly<Record<string, { readonly cancelled: boolean; readonly version: number }>>;
+type Ends = Readonly<Record<string, Ended>>;
+
+interface Moment {
+  readonly current: Records;
+  readonly ended: Ends;
+  readonly version: number;
+  /** Checked, and not yet carried out: whether an awaited job was known to be cancelled. */
+  readonly checked: Readonly<Record<string, boolean>>;
+  /** What the holder has read of either. */
+  readonly seen: Records;
+  readonly learnt: Ends;
+  readonly begun: readonly string[];
+  readonly told: Readonly<Record<string, string>>;
+}
+
+const BEGIN: Moment = {
+  current: { a: { cancelled: false, version: 1 } },
+  ended: {},
+  version: 1,
+  checked: {},
+  seen: {},
+  learnt: {},
+  begun: [],
+  told: {},
+};
+
+/** What a node concludes that has read these. */
+const chainsOf = (current: Records, ends: Ends): Chains => {
+  const chains = new Chains();
+  for (const [id, { cancelled }] of Object.entries(current)) chains.put(id, AWAITS[id] ?? [], cancelled);
+  for (const [id, end] of Object.entries(ends)) if (!(id in current)) chains.learn(id, end);
+  return chains;
+};
+
+interface Functions {
+  readonly mayBegin: (chains: Chains, id: string) => boolean;
+  /** Whether last words are looked up before a state is told. */
+  readonly settles: boolean;
+}
+
+const REAL: Functions = { mayBegin: (chains, id) => chains.mayBegin(id), settles: true };
+
+/** What any node tells: from all that is current, and the last words on which that rests. */
+const tell = (f: Functions, m: Moment, id: string): string => {
+  const end = m.ended[id];
+  if (end !== undefined) return end;
+  const record = m.current[id];
+  if (record === undefined) return "unknown";
+  const chains = chainsOf(m.current, {});
+  if (f.settles) {
+    for (let open = chains.questionsOf(id); open.length > 0; open = chains.questionsOf(id)) {
+      for (const other of open) chains.learn(other, m.ended[other] ?? "done");
+    }
+  }
+  return chains.isWithdrawn(id) ? "cancelled" : "open";
+};
+
+const steps = (f: Functions, m: Moment): readonly (readonly [string, Moment])[] => {
+  const found: [string, Moment][] = [];
+  const write = (change: Partial<Moment>): Moment => ({ ...m, version: m.version + 1, ...change });
+  const holder = chainsOf(m.seen, m.learnt);
+  const without = (id: string): Records => {
+    const { [id]: _, ...rest } = m.current;
+    return rest;
+  };
+  for (const id of JOBS) {
+    const awaits = AWAITS[id] ?? [];
+    const record = m.current[id];
+    const known = (other: string): boolean => other in m.current || other in m.ended;
+    if (!known(id) && !(id in m.checked) && awaits.every(known)) {
+      const withdrawn = awaits.some((other) => m.ended[other] === "cancelled");
+      found.push([`check ${id}`, { ...m, checked: { ...m.checked, [id]: withdrawn } }]);
+    }
+    if (id in m.checked && !known(id)) {
+      const entry = { cancelled: m.checked[id] === true, version: m.version + 1 };
+      found.push([`accept ${id}`, write({ current: { ...m.current, [id]: entry } })]);
+    }
+    if (record !== undefined && !record.cancelled) {
+      const entry = { cancelled: true, version: m.version + 1 };
+      found.push([`cancel ${id}`, write({ current: { ...m.current, [id]: entry } })]);
+    }
+    const seen = m.seen[id];
+    if (seen !== undefined && !m.begun.includes(id) && !seen.cancelled && !holder.isWithdrawn(id)) {
+      if (f.mayBegin(holder, id)) found.push([`begin ${id}`, { ...m, begun: [...m.begun, id] }]);
+    }
+    // Both ends are conditional on the version that the holder has seen.
+    if (record !== undefined && record.version === seen?.version) {
+      const called = seen.cancelled || holder.isWithdrawn(id);
+      const end: Ended | null = called ? "cancelled" : m.begun.includes(id) ? "done" : null;
+      if (end !== null) {
+        const learnt = { ...m.learnt, [id]: end };
+        found.push([`end ${id}`, write({ current: without(id), ended: { ...m.ended, [id]: end }, learnt })]);
+      }
+    }
+  }
+  found.push(["read", { ...m, seen: m.current }]);
+  const questions = holder.questions().filter((id) => id in m.ended);
+  for (const id of questions) {
+    found.push([`look up ${id}`, { ...m, learnt: { ...m.learnt, [id]: m.ended[id] as Ended } }]);
+  }
+  found.push(["takeover", { ...m, seen: m.current, learnt: {} }]);
+  return found;
+};
+
+const wrong = (f: Functions, m: Moment): string | null => {
+  for (const id of m.begun) {
+    for (const other of AWAITS[id] ?? []) if (m.ended[other] !== "done") return `${id} begun before ${other} was done`;
+  }
+  for (const id of JOBS) {
+    const now = tell(f, m, id);
+    const before = m.told[id];
+    if ((before === "cancelled" || before === "done") && now !== before) return `${id}: ${before}, then ${now}`;
+    if (before === "open" && now === "unknown") return `${id}: forgotten`;
+    const needed = (AWAITS[id] ?? []).some((other) => tell(f, m, other) === "cancelled");
+    if (needed && now !== "cancelled" && now !== "unknown") return `${id} is ${now} though what it needs is cancelled`;
+  }
+  return null;
+};
+
+const explore = (f: Functions): { readonly found: string | null; readonly orders: number } => {
+  const known = new Map<string, number>();
+  let orders = 0;
+  const walk = (m: Moment, path: readonly string[]): string | null => {
+    orders += 1;
+    const bad = wrong(f, m);
+    if (bad !== null) return `${path.join(", ")}: ${bad}`;
+    if (path.length >= DEPTH) return null;
+    const told = Object.fromEntries(JOBS.map((id) => [id, tell(f, m, id)]));
+    const here: Moment = { ...m, told };
+    const key = JSON.stringify({ ...here, version: 0 });
+    const left = DEPTH - path.length;
+    if ((known.get(key) ?? 0) >= left) return null;
+    known.set(key, left);
+    for (const [name, next] of steps(f, here)) {
+      const result = walk(next, [...path, name]);
+      if (result !== null) return result;
+    }
+    return null;
+  };
+  return { found: walk(BEGIN, []), orders };
+};
+
+test("in no order does a job begin too early, or is anything told that was told otherwise before", () => {
+  const { found, orders } = explore(REAL);
+  assert.equal(found, null);
+  assert.ok(orders > 1_000, `${orders} orders`);
+});
+
+test("a holder that takes what is gone for done is caught, and so is an answer without the last words", () => {
+  const gone: Functions = {
+    ...REAL,
+    mayBegin: (chains, id) => chains.awaitsOf(id).every((other) => !known(chains, other)),
+  };
+  assert.match(explore(gone).found ?? "", /begun before/);
+  assert.match(explore({ ...REAL, settles: false }).found ?? "", /cancelled/);
+});
+
+/** Whether the chains have the job as a current one. */
+const known = (chains: Chains, id: string): boolean => !chains.questions().includes(id);
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -4,6 +4,7 @@
 import { Random } from "./random.js";
 import { Cluster, plainJob, randomJob, SMALL } from "./sim/cluster.js";
 import { MEETING } from "./sim/meetings.js";
+import { LOWER, next, rollout } from "./sim/rollout.js";
 import { badNight, partialCuts, trouble } from "./sim/troubles.js";
 
 /** Many more are run by hand: RAINRIDGE_SEEDS=1000 (docs/results.md). */
@@ -19,10 +20,57 @@
 /** No trouble lasts for longer than this. */
 const LONGEST_TROUBLE = 65 * S;
 
+/** Chains of jobs, a day at most; half of the days begin with the version before them and lower the limits in the end. */
+const CHAINS = Number(process.env.RAINRIDGE_CHAINS ?? 5);
+
+/** Jobs that await some of those before them, of other chains as well; some are called off, some come last of all. */
+const chained = (cluster: Cluster, random: Random, from: number, until: number): void => {
+  const ids: string[] = [];
+  for (let number = random.int(0, CHAINS); number > 0; number -= 1) {
+    let at = random.int(from, until);
+    for (let stage = random.int(1, 6); stage > 0; stage -= 1) {
+      const ref = `wk-5${String(number).padStart(2, "0")}${String(stage).padStart(3, "0")}`;
+      const before = ids.filter(() => random.chance(0.3)).slice(-4);
+      const own = ids.at(-1);
+      const awaits = [...new Set(own === undefined ? before : [...before, own])];
+      const rank = random.pick(["high", "best_effort"] as const);
+      const fields = {
+        rank,
+        shards: random.int(1, 4),
+        cpus: 1,
+        sizeGb: 0.2,
+        awaits,
+        dueS: random.chance(0.3) ? 90 : null,
+      };
+      ids.push(ref);
+      const owner = random.chance(0.3) ? "capped" : "open";
+      const runUs = random.int(2, 12) * S;
+      const submit = (): void => {
+        const accepted = new Set(cluster.checker.accepted());
+        if (awaits.every((id) => accepted.has(id))) cluster.submit(plainJob(ref, { ...fields, owner }), { runUs });
+        // Not for ever: one that it needs may never have been accepted.
+        else if (cluster.world.now < until + 60 * S) cluster.world.after(S / 2, submit);
+      };
+      cluster.world.at(at, submit);
+      if (random.chance(0.15)) cluster.world.at(at + random.int(0, 40 * S), () => cluster.users.cancelIfAccepted(ref));
+      at += random.int(0, 20 * S);
+    }
+  }
+};
+
 const day = async (seed: number): Promise<void> => {
   // Every third day on such controllers.
   const mesh = seed % 2 === 0;
-  const cluster = new Cluster(seed, { mesh }, undefined, seed % 3 === 0 ? SMALL : undefined);
+  const chains = new Random(seed + 4_000);
+  const rolls = CHAINS > 0 && chains.chance(0.5);
+  const cluster = new Cluster(seed, { mesh }, rolls ? next : undefined, seed % 3 === 0 ? SMALL : undefined);
+  if (rolls) {
+    const { upgrade } = rollout(seed, mesh, next, cluster);
+    const turns = [0, 1, 2].map((at) => (8 + chains.int(0, 30) + at * chains.int(1, 12)) * S);
+    for (const [at, turn] of turns.entries()) cluster.world.at(turn, () => upgrade(at));
+    cluster.world.at(chains.int(75, 140) * S, () => cluster.state.lower(LOWER));
+    chained(cluster, chains, Math.max(...turns) + 5 * S, 140 * S);
+  } else chained(cluster, chains, 5 * S, 140 * S);
   const random = new Random(seed + 1_000);
   const busy = 150 * S;
   for (let number = 0; number < 26; number += 1) {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -11,16 +11,11 @@
 } from "../src/bookkeeping/records.js";
 import { S } from "../src/model/index.js";
 import { parseSettings } from "../src/settings/settings.js";
-import type { Request } from "../src/transport/http.js";
 import { settingsText } from "./fixtures.js";
-import { Cluster, plainJob, type Submission, settingsAt } from "./sim/cluster.js";
+import { Cluster, plainJob } from "./sim/cluster.js";
 import { longJobs } from "./sim/meetings.js";
 import { settled, type Trouble } from "./sim/night.js";
-
-/** Limits that the state service will have from some moment on. */
-const NEXT = "[deployment.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 6\n\n[deployment.cloud]";
-const next = (text: string): string => text.replace("[deployment.cloud]", NEXT);
-const LOWER = { writeRps: 28, valueBytes: 2_048, txnOps: 6 };
+import { chainsOf, LOWER, next, type Rollout, rollout } from "./sim/rollout.js";
 
 // What both versions share, as the old one wrote it (docs/compatibility.md) ---------------------------------------------
 
@@ -70,47 +65,6 @@
 
 // Side by side ----------------------------------------------------------------------------------------------------------
 
-/** A controller that knows nothing of `awaits`, of lower limits or of any field that came with them. */
-const asOld = (request: Request): Request => {
-  if (request.target !== "/txn") return request;
-  const transaction = JSON.parse(request.body) as { writes: { set?: string; value?: Record<string, unknown> }[] };
-  for (const { set, value } of transaction.writes) {
-    if (set?.startsWith("c/awaits/") === true) throw new Error("a list of awaited jobs of the old version");
-    if (set?.startsWith("c/job/") !== true || value === undefined) continue;
-    delete value.acceptedMs;
-    delete value.awaited;
-  }
-  return { ...request, body: JSON.stringify(transaction) };
-};
-
-interface Rollout {
-  readonly cluster: Cluster;
-  /** That process ends and comes back new. */
-  upgrade(at: number): void;
-  isNew(at: number): boolean;
-}
-
-/** Three old controllers under the new settings page, of which they know what the old version knew. */
-const rollout = (seed: number, mesh: boolean, altered = next): Rollout => {
-  const cluster = new Cluster(seed, { mesh }, next);
-  const upgraded = new Set<number>();
-  const { controllers } = cluster.site.addresses;
-  // From their first moment on: nothing has happened yet.
-  for (const at of [0, 1, 2]) cluster.site.restartWith(at, parseSettings(settingsAt(at, (text) => text)), 1);
-  cluster.network.rewrite = (from, _to, request) => {
-    const at = controllers.indexOf(from);
-    return at < 0 || upgraded.has(at) ? request : asOld(request);
-  };
-  return {
-    cluster,
-    upgrade: (at) => {
-      upgraded.add(at);
-      cluster.site.restartWith(at, parseSettings(settingsAt(at, altered)));
-    },
-    isNew: (at) => upgraded.has(at),
-  };
-};
-
 const stream = (cluster: Cluster, from: number, until: number): void => {
   let number = 0;
   const more = (): void => {
@@ -123,38 +77,6 @@
   cluster.world.at(from, more);
 };
 
-/** Chains of five with a diamond, one every four seconds, some of them called off. */
-const chainsOf = (cluster: Cluster, from: number, until: number): readonly string[] => {
-  const last: string[] = [];
-  let number = 0;
-  const id = (stage: number): string => `wk-${60 + stage}${String(number).padStart(4, "0")}`;
-  const more = (): void => {
-    number += 1;
-    const stages: Submission[] = [
-      plainJob(id(0), { shards: 3, cpus: 1, sizeGb: 0.1, rank: "best_effort" }),
-      plainJob(id(1), { shards: 2, cpus: 1, sizeGb: 0.1, rank: "best_effort", awaits: [id(0)] }),
-      plainJob(id(2), { shards: 2, cpus: 1, sizeGb: 0.1, owner: "capped", awaits: [id(0)] }),
-      plainJob(id(3), { shards: 1, cpus: 1, sizeGb: 0.1, rank: "high", dueS: 90, awaits: [id(1), id(2)] }),
-    ];
-    last.push(id(3));
-    const middle = number % 5 === 0 ? id(1) : null;
-    const submit = (): void => {
-      const accepted = new Set(cluster.checker.accepted());
-      while (stages[0]?.awaits === undefined || stages[0].awaits.every((ref) => accepted.has(ref))) {
-        const stage = stages.shift();
-        if (stage === undefined) return;
-        cluster.submit(stage, { runUs: 4 * S });
-        if (stage.ref === middle) cluster.world.after(cluster.random.int(0, 9 * S), () => cluster.users.cancel(middle));
-      }
-      cluster.world.after(S / 10, submit);
-    };
-    submit();
-    if (cluster.world.now < until) cluster.world.after(4 * S, more);
-  };
-  cluster.world.at(from, more);
-  return last;
-};
-
 const UPGRADES: Readonly<Record<string, (r: Rollout) => void>> = {
   "one by one": ({ cluster, upgrade }) => {
     for (const at of [0, 1, 2]) cluster.world.at((40 + at * 12) * S, () => upgrade(at));
