--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,7 +1,6 @@
 import { Block } from "../bookkeeping/block.js";
 import { newMachine } from "../bookkeeping/machines.js";
 import type { Job, Machine } from "../bookkeeping/picture.js";
-import { fullKey, TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { Change } from "../protocol/state.js";
 import type { Command, Report } from "../protocol/worker.js";
@@ -15,6 +14,7 @@
 import { isDeaf } from "./decisions/reach.js";
 import { type Allowed, allowedTo, stopsOwed } from "./decisions/rights.js";
 import type { Extension, Holding } from "./extension.js";
+import { Fullness } from "./fullness.js";
 import { Inquiries } from "./inquiries.js";
 import { JobsFeed } from "./jobs-feed.js";
 import { Lanes } from "./lanes.js";
@@ -72,7 +72,7 @@
   private readonly feed: JobsFeed;
   private readonly chained: Chained;
   private readonly silences: Silences;
-  private sayingFull = false;
+  private readonly fullness: Fullness;
   private readonly lanes: Lanes<Machine>;
   private roundGap: Micros = ROUND_GAP;
   private holding: Holding | null = null;
@@ -140,6 +140,7 @@
       stopped: () => this.stopped,
       stillAsking: () => this.watch.stillAsking(),
     });
+    this.fullness = new Fullness(services, lease, guard);
     this.chained = new Chained(context, (job) => rental.learn(job.spec));
     this.feed = new JobsFeed({
       context,
@@ -340,7 +341,7 @@
         this.watch.silence();
         for (const machine of this.context.block.machines.values()) this.commander.drain(machine);
         this.refreshTypes();
-        this.sayWhetherFull();
+        this.fullness.say();
         if (clock.now() - this.summedAt > SUMMARY_PERIOD) {
           this.summedAt = clock.now();
           log.info("room", {
@@ -362,27 +363,6 @@
     return (this.services.clock.now() - time) as Micros;
   }
 
-  /** Tells the other controllers, by a key, to accept nothing more for this block, or that they may again. */
-  private sayWhetherFull(): void {
-    const { view, committer, overload } = this.services;
-    const key = fullKey(this.lease.block);
-    const entry = view.entries.get(key);
-    const full = overload.atLeast("full");
-    if (this.sayingFull || full === (entry !== undefined)) return;
-    this.sayingFull = true;
-    const { key: lease, version } = this.lease;
-    const conditions = new Map([
-      [lease, version],
-      [key, entry?.version ?? 0],
-    ]);
-    const write = full ? ({ kind: "put", key, value: {} } as const) : ({ kind: "delete", key } as const);
-    // Whatever becomes of it, the next tick looks again.
-    const said = committer.propose(conditions, [write], "cancel").then(() => view.sync());
-    void this.guard(said).then(() => {
-      this.sayingFull = false;
-    });
-  }
-
   private refreshTypes(): void {
     const { clock, view, committer, settings } = this.services;
     if (this.typesAt !== 0 && clock.now() - this.typesAt < TYPES_PERIOD) return;
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -350,36 +350,23 @@
     }
   }
 
-  /** Did somebody ask to cancel a job that it needs, directly or through others? */
-  private needsCancelled(id: string): boolean {
+  /** What it needs, directly or through others. */
+  private needsOf(id: string): readonly Told[] {
     const seen = new Set([id]);
-    const stack = [id];
-    for (let next = stack.pop(); next !== undefined; next = stack.pop()) {
-      for (const needed of this.jobs.get(next)?.awaits ?? []) {
-        if (this.told.get(needed)?.cancelAsked === true && this.told.get(needed)?.final !== "done") return true;
-        if (seen.has(needed)) continue;
-        seen.add(needed);
-        stack.push(needed);
-      }
-    }
-    return false;
+    for (const next of seen) for (const needed of this.jobs.get(next)?.awaits ?? []) seen.add(needed);
+    seen.delete(id);
+    return [...seen].flatMap((needed) => this.told.get(needed) ?? []);
+  }
+
+  /** Did somebody ask to cancel a job that it needs? */
+  private needsCancelled(id: string): boolean {
+    return this.needsOf(id).some(({ cancelAsked, final }) => cancelAsked && final !== "done");
   }
 
   /** When a user was first told that a job which this one needs is withdrawn; null: none was. */
   private neededCancelledAt(id: string): number | null {
-    const seen = new Set([id]);
-    const stack = [id];
-    let first: number | null = null;
-    for (let next = stack.pop(); next !== undefined; next = stack.pop()) {
-      for (const needed of this.jobs.get(next)?.awaits ?? []) {
-        const at = this.told.get(needed)?.cancelledAt ?? null;
-        if (at !== null && (first === null || at < first)) first = at;
-        if (seen.has(needed)) continue;
-        seen.add(needed);
-        stack.push(needed);
-      }
-    }
-    return first;
+    const times = this.needsOf(id).flatMap(({ cancelledAt }) => cancelledAt ?? []);
+    return times.length === 0 ? null : Math.min(...times);
   }
 
   /** Accepted jobs that their users have not cancelled, the largest of each class among them. */
