--- a/src/coordination/steward.ts
+++ b/src/coordination/steward.ts
@@ -1,6 +1,7 @@
 import { Block } from "../bookkeeping/block.js";
 import { newMachine } from "../bookkeeping/machines.js";
 import type { Job, Machine } from "../bookkeeping/picture.js";
+import { TYPES_KEY } from "../bookkeeping/records.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { Change } from "../protocol/state.js";
 import type { Command, Report } from "../protocol/worker.js";
