--- a/test/rights.test.ts
+++ b/test/rights.test.ts
@@ -173,9 +173,11 @@
     case "confirm":
       return m.away || m.confirmedAt !== null ? m : { ...m, confirmedAt: m.now };
     case "takeover": {
-      if (!ended || m.next !== null) return m;
-      const next = { number: 2, renewed: m.now, viewed: m.now, knows: m.confirmedAt !== null, sent: null };
-      return { ...m, next, number: 2, grantUntil: m.now + TTL };
+      if (!ended) return m;
+      const number = m.number + 1;
+      const next = { number, renewed: m.now, viewed: m.now, knows: m.confirmedAt !== null, sent: null };
+      // A second one: whoever held it before is the old holder now, and may go on as the first did.
+      return { ...m, old: m.next ?? m.old, next, number, grantUntil: m.now + TTL };
     }
     case "long wait":
       return m;
@@ -189,7 +191,14 @@
   return null;
 };
 
-const explore = (f: Functions, depth: number): { readonly orders: number; readonly broken: string | null } => {
+/** A holder that was refused has been followed by another one, and may still act for a moment. */
+const FOLLOWED: readonly Action[] = ["refuse the old holder", "watch", "long wait", "renew", "long wait", "takeover"];
+
+const explore = (
+  f: Functions,
+  depth: number,
+  from: Moment = BEGIN,
+): { readonly orders: number; readonly broken: string | null } => {
   let orders = 0;
   const visit = (m: Moment, path: readonly Action[]): string | null => {
     const what = wrong(f, m);
@@ -204,7 +213,7 @@
     }
     return null;
   };
-  const broken = visit(BEGIN, []);
+  const broken = visit(from, []);
   return { orders, broken };
 };
 
@@ -219,6 +228,16 @@
   assert.equal(orders, ACTIONS.length ** DEPTH);
 });
 
+test(`the same after a takeover, so that a second one falls into it (${DEPTH} events)`, { timeout: 3_600_000 }, () => {
+  const followed = FOLLOWED.reduce((m, action) => apply(REAL, m, action), BEGIN);
+  assert.equal(followed.number, 2);
+  const twice = ["long wait", "long wait", "takeover"] as const;
+  assert.equal(twice.reduce((m, action) => apply(REAL, m, action), followed).number, 3);
+  const { orders, broken } = explore(REAL, DEPTH, followed);
+  assert.equal(broken, null);
+  assert.equal(orders, ACTIONS.length ** DEPTH);
+});
+
 const BROKEN: Readonly<Record<string, Functions>> = {
   "renewals and watches count from the arrival of their answers": { ...REAL, countsFrom: (_, now) => now },
   "the right does not end with the view": {
