--- a/src/coordination/awaited.ts
+++ b/src/coordination/awaited.ts
@@ -40,6 +40,9 @@
 
 /** Reads what the chains of current jobs rest on, at every controller, and puts long lists of awaited jobs on record. */
 export class Awaited {
+  /** Named by a current job, and neither current nor ended. */
+  private readonly nowhere = new Set<string>();
+
   constructor(
     private readonly services: Services,
     private readonly lastWord: (id: string) => Promise<LastWord>,
@@ -66,7 +69,9 @@
     const { chains, clock, log } = this.services;
     for (;;) {
       try {
-        await this.read(chains.questions());
+        const questions = chains.questions();
+        for (const id of this.nowhere) if (!questions.includes(id)) this.nowhere.delete(id);
+        await this.read(questions.filter((id) => !this.nowhere.has(id)));
       } catch (error) {
         log.error("reading last words failed", { error: describeError(error) });
       }
@@ -78,11 +83,11 @@
   async settle(id: string): Promise<boolean> {
     const { chains } = this.services;
     for (let tries = 0; tries < SETTLE_TRIES; tries += 1) {
-      const questions = chains.questionsOf(id);
+      const questions = chains.questionsOf(id).filter((other) => !this.nowhere.has(other));
       if (questions.length === 0) return true;
       if (!(await this.read(questions))) return false;
     }
-    return chains.questionsOf(id).length === 0;
+    return false;
   }
 
   private async read(ids: readonly string[]): Promise<boolean> {
@@ -93,8 +98,11 @@
         ids.slice(from, from + AT_ONCE).map(async (id) => {
           const word = await this.lastWord(id);
           if (word.kind === "ended") chains.learn(id, word.end.phase);
-          // Accepted jobs never vanish: what is in neither place has been in a view that is behind.
-          else if (!view.entries.has(jobKey(id))) all = false;
+          else if (view.entries.has(jobKey(id))) return;
+          else if (word.kind === "unknown") all = false;
+          // Accepted jobs never vanish: an older version, which ignores the field, has taken a list that names what nobody
+          // submitted. Whatever awaits it waits for ever, and its questions are answered all the same.
+          else this.nowhere.add(id);
         }),
       );
     }
--- a/test/chains.test.ts
+++ b/test/chains.test.ts
@@ -3,8 +3,9 @@
 import { Chains } from "../src/bookkeeping/chains.js";
 import { endKey, jobKey } from "../src/bookkeeping/records.js";
 import { FastSite, nobody, S, sampleSite } from "../src/model/index.js";
+import { readSubmission } from "../src/protocol/user.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
-import { Cluster, plainJob, type Submission } from "./sim/cluster.js";
+import { Cluster, plainJob, type Submission, trueJob } from "./sim/cluster.js";
 
 const link = (number: number, awaits: readonly number[], fields: Partial<Submission> = {}): Submission =>
   plainJob(idOf(number), {
@@ -280,3 +281,21 @@
   const at = (number: number): number => began.get(idOf(number)) ?? 0;
   assert.ok(at(1) > at(0) + 4 * S && at(2) > at(1) + 4 * S);
 });
+
+test("a job that an older version took although it names what nobody submitted waits, and is answered", async () => {
+  const cluster = new Cluster(40);
+  await cluster.run(5 * S);
+  const job = link(1, [9]);
+  cluster.state.put(jobKey(job.ref), { spec: readSubmission(job), block: 0, cancelled: false });
+  cluster.checker.jobs.set(job.ref, trueJob(job));
+  await cluster.run(3 * S);
+  for (const node of [0, 1, 2]) {
+    const [status, text] = await ask(cluster, job, node);
+    assert.deepEqual([status, (JSON.parse(text) as { phase: string }).phase], [200, "pending"]);
+  }
+  cluster.users.heardOf(job);
+  cluster.users.cancel(job.ref);
+  await cluster.run(10 * S);
+  assert.equal(cluster.checker.finalOf(job.ref), "withdrawn");
+  assert.equal(cluster.checker.starts, 0);
+});
