--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -46,6 +46,13 @@
   retryAfterS: inS,
 });
 
+/**
+ * Written under a higher limit, a record may be too large to be written again. Nothing of a cancelled job is placed any more, so
+ * that where it might have gone and what it awaited is not needed.
+ */
+const shrunk = (record: JobRecord, most: number): JobRecord =>
+  formatJson(record).length <= most ? record : { ...record, spec: { ...withoutAwaits(record.spec), types: null } };
+
 type Found =
   | { readonly kind: "current"; readonly entry: Entry }
   | { readonly kind: "ended"; readonly end: EndRecord }
@@ -210,7 +217,7 @@
 
   private get valueBytes(): number {
     const { committer, settings } = this.services;
-    return Math.min(settings.state.valueBytes, committer.valueBytes ?? Number.POSITIVE_INFINITY);
+    return Math.min(settings.state.valueBytes, committer.valueBytes);
   }
 
   /** A last word, or that there is none: nothing of what is current is looked at. */
@@ -319,7 +326,7 @@
       }
       const record = readJob(entry.value);
       if (record.cancelled || this.holder.withdrawn(record.spec)) return answer(200, phaseAnswer(id, "cancelled"));
-      const value: JobRecord = { ...record, cancelled: true };
+      const value = shrunk({ ...record, cancelled: true }, this.valueBytes);
       const result = await committer.propose(
         new Map([[entry.key, entry.version]]),
         [{ kind: "put", key: entry.key, value }],
--- a/test/answers.test.ts
+++ b/test/answers.test.ts
@@ -32,7 +32,7 @@
       },
     },
     overload: { atLeast: () => false },
-    committer: { backlog: 0 },
+    committer: { backlog: 0, valueBytes: 8_192 },
     chains: new Chains(),
   } as unknown as Services;
   const types = new Map([["big", bigType(["east"])]]);
--- a/test/appointments.test.ts
+++ b/test/appointments.test.ts
@@ -18,7 +18,7 @@
     clock,
     log,
     settings: parseSettings(settingsText(0)),
-    committer: { backlog: 10_000_000, rate: 2.5, fullRate: 25 },
+    committer: { backlog: 10_000_000, rate: 2.5, fullRate: 25, valueBytes: 8_192 },
     view: { loaded: true, entries: new Map() },
     overload: new Overload(clock, log, null),
   } as unknown as Services;
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -162,6 +162,26 @@
   assert.equal(cluster.state.value("c/job/wk-000002"), undefined);
 });
 
+test("a job whose own record is larger than the new limit can be called off, and asked about, and ends", async () => {
+  const r = rollout(83, false);
+  const { cluster, upgrade } = r;
+  const flavors = ["big", ...Array.from({ length: 300 }, (_, at) => `none-${at}`)];
+  cluster.submit(plainJob("wk-000001", { flavors, shards: 2, guessS: 300 }), { runUs: 300 * S });
+  cluster.submit(plainJob("wk-000002", { flavors, shards: 2, guessS: 40 }), { runUs: 40 * S });
+  await cluster.run(30 * S);
+  assert.ok(JSON.stringify(cluster.state.value("c/job/wk-000001")).length > LOWER.valueBytes);
+  for (const at of [0, 1, 2]) upgrade(at);
+  await cluster.run(10 * S);
+  cluster.state.lower(LOWER);
+  cluster.users.cancel("wk-000001");
+  await cluster.run(80 * S);
+  const finals = ["wk-000001", "wk-000002"].map((id) => cluster.checker.finalOf(id));
+  assert.deepEqual([finals, cluster.state.tooLarge], [["withdrawn", "done"], 0]);
+  // Its repeat is answered with its state, though nothing as large is taken any more.
+  for (const job of cluster.users.known().all) void cluster.users.resubmit(job);
+  await cluster.run(5 * S);
+});
+
 test("limits that are lower than anybody said are learnt, and nothing is sent again as it is", async () => {
   const cluster = new Cluster(82);
   cluster.rooms.ordinary = 40;
