--- a/test/chains.test.ts
+++ b/test/chains.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { Chains } from "../src/bookkeeping/chains.js";
 import { endKey, jobKey } from "../src/bookkeeping/records.js";
-import { FastSite, nobody, S, sampleSite } from "../src/model/index.js";
+import { FastSite, jobBehaviour, nobody, S, sampleSite } from "../src/model/index.js";
 import { readSubmission } from "../src/protocol/user.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import { Cluster, plainJob, type Submission, trueJob } from "./sim/cluster.js";
@@ -299,3 +299,33 @@
   assert.equal(cluster.checker.finalOf(job.ref), "withdrawn");
   assert.equal(cluster.checker.starts, 0);
 });
+
+test("a takeover with hundreds of chains half done: starts that need no lookup come first, lookups go by pages", async () => {
+  const cluster = new Cluster(41);
+  cluster.rooms.ordinary = 40;
+  const chains = 300;
+  const on = (job: Submission): void => {
+    cluster.state.put(jobKey(job.ref), { spec: readSubmission(job), block: 0, cancelled: false });
+    cluster.checker.jobs.set(job.ref, trueJob(job));
+    cluster.site.truth.behaviours.set(job.ref, { ...jobBehaviour(job), ...RUN });
+  };
+  for (let at = 0; at < chains; at += 1) {
+    const first = idOf(2 * at);
+    cluster.state.put(endKey(first), { phase: "done", done: 2 });
+    cluster.checker.jobs.set(first, { ...never0, id: first });
+    for (const task of [0, 1]) cluster.checker.taskDone(`${first}/${task}`);
+    on(link(2 * at + 1, [2 * at], { shards: 1 }));
+  }
+  on(link(9_000, [], { rank: "high" }));
+  let lookups = 0;
+  cluster.network.onRequest = (_, __, { target }) => {
+    if (target.startsWith("/kv/e/") || target.startsWith("/kv?under=e/")) lookups += 1;
+  };
+  for (let at = 0; at < 300 && cluster.begun.length === 0; at += 1) await cluster.run(S / 10);
+  // Three controllers, 300 last words each: by single reads that were 900.
+  assert.ok(cluster.begun.length > 0 && lookups <= 60, `${lookups} lookups before the first start`);
+  await cluster.run(120 * S);
+  const begun = new Set(cluster.begun.map(({ task }) => task.split("/")[0]));
+  assert.equal(begun.size, chains + 1);
+  assert.deepEqual(cluster.errors, []);
+});
