--- a/test/replay.test.ts
+++ b/test/replay.test.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { HostClock, jobOf, nobody, S, Site, type Witness, World } from "../src/model/index.js";
+import { readSubmission } from "../src/protocol/user.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import {
   agreement,
@@ -28,7 +29,7 @@
 } from "../src/whatif/index.js";
 import { Random } from "./random.js";
 import { BrokenRule, Checker } from "./sim/checker.js";
-import { trueJob } from "./sim/cluster.js";
+import { plainJob, trueJob } from "./sim/cluster.js";
 import { requestFor, smallDay, smallSite, submitted } from "./whatif-fixtures.js";
 
 type Model = "faithful" | "fast";
@@ -135,6 +136,28 @@
   }
 });
 
+test("a trace keeps what jobs await, and both models replay it in that order", async () => {
+  const events = [
+    submitted(1, "wk-first", { shards: 2 }, 8),
+    submitted(2, "wk-second", { shards: 2, awaits: ["wk-first"], rank: "best_effort" }, 6),
+    submitted(3, "wk-last", { shards: 1, awaits: ["wk-first", "wk-second"], rank: "high", dueS: 90 }, 4),
+  ];
+  assert.deepEqual(parseTrace(formatTrace(requestFor(events).header, events)).events, events);
+  for (const model of MODELS) {
+    // The checker sees it where one begins too early.
+    const { jobs } = await replayed(model, requestFor(events));
+    assert.deepEqual(
+      jobs.map(({ phase }) => phase),
+      ["done", "done", "done"],
+      model,
+    );
+  }
+  // What a controller records of such a job is a submission that awaits the same.
+  const spec = readSubmission(plainJob("wk-second", { awaits: ["wk-first"] }));
+  const recorded = traceEventOf({ kind: "job seen", spec }, 5);
+  assert.deepEqual(recorded.event === "submit" ? recorded.job.awaits : null, ["wk-first"]);
+});
+
 test("a drain at any point of the day, and events of one moment in any order, keep the rules", async () => {
   for (let second = 2; second <= 62; second += 6) {
     const events = [...smallDay(), ...troubles(second * S)].sort((a, b) => a.at - b.at);
