Read again: a job's rank is read where it is kept, a priority's place is worked out in one function, a refusal looks once instead of twice

The limit on values had two sources of which one followed from the other; two ways of losing answers in the model share their timer; two comments on chains said what was not so.

--- a/src/bookkeeping/block.ts
+++ b/src/bookkeeping/block.ts
@@ -1,6 +1,6 @@
 import type { MachineType } from "../protocol/cloud.js";
 import type { Whole } from "../protocol/json.js";
-import { type JobSpec, PRIORITIES } from "../protocol/user.js";
+import { type JobSpec, rankOf } from "../protocol/user.js";
 import type { Team } from "../settings/settings.js";
 import { type Clock, type Micros, seconds } from "../transport/clock.js";
 import { newMachine, rememberImage, tally } from "./machines.js";
@@ -48,7 +48,7 @@
       lifted: false,
       seenAt: this.clock.now(),
       blocked: false,
-      rank: PRIORITIES.indexOf(spec.priority),
+      rank: rankOf(spec.priority),
       ownDue: due,
       dueAt: due,
       awaited: null,
--- a/src/bookkeeping/chains.ts
+++ b/src/bookkeeping/chains.ts
@@ -1,4 +1,4 @@
-/** What became of a job that others await; `null`: it is current, or nobody has looked yet. */
+/** What became of a job that others await. */
 export type Ended = "done" | "cancelled";
 
 interface Node {
@@ -27,7 +27,7 @@
   /** Told of each job of which the last awaited one has turned out to be done. */
   onMayBegin: (id: string) => void = () => undefined;
 
-  /** Jobs without anything to await are kept as well where others await them; all others cost nothing. */
+  /** Every current job: one that awaits nothing may come to be awaited, and its cancellation passed on. */
   put(id: string, awaits: readonly string[], cancelled: boolean): void {
     const known = this.nodes.get(id);
     if (known === undefined) {
--- a/src/coordination/chained.ts
+++ b/src/coordination/chained.ts
@@ -1,8 +1,8 @@
 import type { Job } from "../bookkeeping/picture.js";
 import { awaitedKey, type EndRecord } from "../bookkeeping/records.js";
+import { rankOf } from "../protocol/user.js";
 import { type Micros, seconds } from "../transport/clock.js";
 import type { BlockContext } from "./context.js";
-import { ownRank } from "./decisions/eligibility.js";
 
 /**
  * Jobs of a block that await others: which of them may begin, and with which rank and by when they count, which both follow from
@@ -66,7 +66,7 @@
     for (let id = stack.pop(); id !== undefined; id = stack.pop()) {
       const job = block.jobs.get(id);
       if (job === undefined) continue;
-      let rank = ownRank(job.spec);
+      let rank = rankOf(job.spec.priority);
       let due = job.ownDue;
       for (const child of chains.childrenOf(id)) {
         const other = block.jobs.get(child);
--- a/src/coordination/decisions/eligibility.ts
+++ b/src/coordination/decisions/eligibility.ts
@@ -1,16 +1,11 @@
 import type { Job, Machine } from "../../bookkeeping/picture.js";
 import type { MachineType } from "../../protocol/cloud.js";
-import { type JobSpec, PRIORITIES } from "../../protocol/user.js";
+import type { JobSpec } from "../../protocol/user.js";
 import type { Settings } from "../../settings/settings.js";
 import { fits } from "../placement/bfgp.js";
 import type { Picture } from "./picture.js";
 import { isReached } from "./reach.js";
 
-export const ownRank = (spec: JobSpec): number => PRIORITIES.indexOf(spec.priority);
-
-/** The highest of its own and of those of the jobs that need it. */
-export const rankOf = ({ rank }: Pick<Job, "rank">): number => rank;
-
 /** May the job use such a machine at all? */
 export const allows = (spec: JobSpec, typeName: string, zone: string, spot: boolean): boolean =>
   (spec.types === null || spec.types.includes(typeName)) &&
--- a/src/coordination/decisions/order.ts
+++ b/src/coordination/decisions/order.ts
@@ -1,7 +1,6 @@
 import type { Job } from "../../bookkeeping/picture.js";
 import type { Team } from "../../settings/settings.js";
 import { weight } from "../placement/bfgp.js";
-import { rankOf } from "./eligibility.js";
 import type { Picture } from "./picture.js";
 import { mayTry } from "./trial.js";
 
@@ -25,7 +24,7 @@
   for (const type of block.types().values()) if (type.capacity.cpu > reference.cpu) reference = type.capacity;
   const keyed = jobs.map((job) => ({
     job,
-    rank: rankOf(job),
+    rank: job.rank,
     borrowed: job.entitled ? 0 : block.withinGuarantee(job.spec) ? 1 : 2,
     // Where not all guarantees can be met, each team gets the same share of its own.
     fill:
--- a/src/coordination/decisions/preemption.ts
+++ b/src/coordination/decisions/preemption.ts
@@ -4,7 +4,7 @@
 import type { Demand } from "../../protocol/user.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { fits, minus, plus } from "../placement/bfgp.js";
-import { allows, rankOf, zoneAllowed, zoneCounts } from "./eligibility.js";
+import { allows, zoneAllowed, zoneCounts } from "./eligibility.js";
 import { type Floor, zonesWithRoom } from "./floor.js";
 import type { Picture } from "./picture.js";
 import { patienceOf } from "./promptness.js";
@@ -85,11 +85,11 @@
   if (job.cancelled) return null;
   const other = job.spec;
   // What went first so that its class is served at all is not to be stopped by those whom it went before.
-  if (rankOf(job) > rankOf(task.job)) return job.lifted ? null : "outranked";
+  if (job.rank > task.job.rank) return job.lifted ? null : "outranked";
   // Replicas are not stopped for a guarantee: two teams' services kept driving each other off a scarce zone.
   if (other.shape === "service") return null;
   if (other.team === task.job.spec.team || now - task.waitingSince < patience(picture)) return null;
-  const allowed = task.job.entitled && !job.entitled && rankOf(job) >= rankOf(task.job);
+  const allowed = task.job.entitled && !job.entitled && job.rank >= task.job.rank;
   return allowed ? "guarantee" : null;
 };
 
@@ -100,7 +100,7 @@
 const movableJob = (task: Task, job: Job): boolean => {
   const { spec } = job;
   if (!task.job.spec.spread || spec.shape !== "service" || job === task.job) return false;
-  return rankOf(job) >= rankOf(task.job);
+  return job.rank >= task.job.rank;
 };
 
 const hasElsewhere = (victim: Task, floor: Floor): boolean => {
@@ -218,7 +218,7 @@
     // A move costs no work: the replica goes on elsewhere.
     order.push({ task: victim, reason, loss: reason === "moved" ? 0 : lossOf(victim, now) });
   }
-  order.sort((a, b) => rankOf(b.task.job) - rankOf(a.task.job) || a.loss - b.loss);
+  order.sort((a, b) => b.task.job.rank - a.task.job.rank || a.loss - b.loss);
   let free = minus(type.capacity, machine.used);
   let cost = 0;
   const victims: { task: Task; reason: StopReason }[] = [];
--- a/src/coordination/decisions/promptness.ts
+++ b/src/coordination/decisions/promptness.ts
@@ -2,7 +2,6 @@
 import type { JobSpec } from "../../protocol/user.js";
 import type { Settings } from "../../settings/settings.js";
 import { type Micros, seconds } from "../../transport/clock.js";
-import { rankOf } from "./eligibility.js";
 
 /** Classes expected to start within this time are in a hurry, whatever their rank. */
 const HURRY = seconds(30);
@@ -38,7 +37,7 @@
   { spec, entitled, rank }: Pick<Job, "spec" | "entitled" | "rank">,
   settings: Pick<Settings, "objectives" | "teams">,
 ): boolean => {
-  if (entitled || rankOf({ rank }) <= HIGH) return true;
+  if (entitled || rank <= HIGH) return true;
   const within = startWithin(spec, settings);
   return within !== null && within <= HURRY;
 };
--- a/src/coordination/front-door.ts
+++ b/src/coordination/front-door.ts
@@ -176,7 +176,7 @@
     const acceptedMs = wall === null ? {} : { acceptedMs: Math.round(wall()) };
     // What awaits a job that was called off is accepted all the same, and called off with it.
     const record: JobRecord = { spec, block: homeBlock(spec.team), cancelled: checked.withdrawn, ...acceptedMs };
-    const prepared = await this.awaited.prepare(record, this.valueBytes);
+    const prepared = await this.awaited.prepare(record, this.services.committer.valueBytes);
     if (prepared === null) return comeBack("state service unavailable");
     const key = jobKey(spec.id);
     const result = await committer.propose(
@@ -200,8 +200,7 @@
   /** What was accepted once, perhaps under other machine types, is never refused, and may have ended long ago. */
   private async unlessAccepted(id: string, refusal: Response): Promise<Response> {
     const found = await this.find(id);
-    if (found.kind === "unknown") return comeBack("state service unavailable");
-    return found.kind === "never" ? refusal : this.status(id);
+    return found.kind === "never" ? refusal : this.status(id, found);
   }
 
   /** Why nothing like it is accepted, whoever asks. */
@@ -210,16 +209,11 @@
     const never = neverRuns(spec, settings, this.types);
     if (never !== null) return answer(422, { error: never });
     // The state service would refuse the record however often it is sent.
-    const most = this.valueBytes;
+    const most = this.services.committer.valueBytes;
     const tooLarge = body.length > most / 2 && formatJson(withoutAwaits(spec)).length + RECORD_BYTES > most;
     return tooLarge ? answer(400, { error: "job: too large" }) : null;
   }
 
-  private get valueBytes(): number {
-    const { committer, settings } = this.services;
-    return Math.min(settings.state.valueBytes, committer.valueBytes);
-  }
-
   /** A last word, or that there is none: nothing of what is current is looked at. */
   private async lastWord(id: string): Promise<LastWord> {
     const known = this.ends.get(id);
@@ -251,8 +245,8 @@
     if (oldest !== undefined) this.ends.delete(oldest);
   }
 
-  private async status(id: string): Promise<Response> {
-    const found = await this.find(id);
+  private async status(id: string, known?: Found): Promise<Response> {
+    const found = known ?? (await this.find(id));
     // Withdrawn with a job that it needs is told from that one's last word, which has to be read first.
     const settled = found.kind !== "current" || this.hasBegun(id) || (await this.awaited.settle(id));
     if (!settled) return comeBack("state service unavailable");
@@ -326,7 +320,7 @@
       }
       const record = readJob(entry.value);
       if (record.cancelled || this.holder.withdrawn(record.spec)) return answer(200, phaseAnswer(id, "cancelled"));
-      const value = shrunk({ ...record, cancelled: true }, this.valueBytes);
+      const value = shrunk({ ...record, cancelled: true }, this.services.committer.valueBytes);
       const result = await committer.propose(
         new Map([[entry.key, entry.version]]),
         [{ kind: "put", key: entry.key, value }],
--- a/src/model/state-service.ts
+++ b/src/model/state-service.ts
@@ -64,8 +64,12 @@
 
   /** That share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones of the same writer. */
   lateWrites(share: number, forUs: number): void {
+    this.leaveUnanswered(share, [2 * S, 12 * S], forUs);
+  }
+
+  private leaveUnanswered(share: number, lateBy: readonly [number, number], forUs: number): void {
     this.unanswered = share;
-    this.lateBy = [2 * S, 12 * S];
+    this.lateBy = lateBy;
     this.world.after(forUs, () => {
       this.unanswered = 0;
       this.lateBy = null;
@@ -74,12 +78,7 @@
 
   /** That share of transactions is carried out at once, and only its answer is lost. */
   loseAnswers(share: number, forUs: number): void {
-    this.unanswered = share;
-    this.lateBy = [0, 0];
-    this.world.after(forUs, () => {
-      this.unanswered = 0;
-      this.lateBy = null;
-    });
+    this.leaveUnanswered(share, [0, 0], forUs);
   }
 
   /** A single node is refused for a while; its leases run on. */
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -5,6 +5,9 @@
 export const PRIORITIES = ["production", "high", "normal", "low"] as const;
 export type Priority = (typeof PRIORITIES)[number];
 
+/** The place of a priority in their order; 0 is the highest. */
+export const rankOf = (priority: Priority): number => PRIORITIES.indexOf(priority);
+
 /** What is known of a job for ever. Amounts are scaled: thousandths of a CPU, MiB-like thousandths of a GB. */
 export interface JobSpec {
   readonly id: string;
