A start that may still be delivered keeps its task at the machine until that is deleted

Cause: lease expiry, a higher token and a new incarnation were taken for proof that no start can arrive. They prove it for one life of the worker only. Mend: a task remembers a start without a response. None of the three frees it: it is started again where it is, by the response to a heartbeat where commands do not arrive (a worker drops a late response), or waits until the machine is deleted, which a silent machine past its lease is, before other deletions and within the bound on machines given up in a lease. Where the attempt has been listed since, the start counts as on its way for 60 s after it was sent.

--- a/src/cluster/shard-state.ts
+++ b/src/cluster/shard-state.ts
@@ -122,6 +122,7 @@
         desired: record,
         machine: null,
         startCommand: { kind: "none" },
+        unansweredStartAt: null,
         state: null,
         runningSince: null,
         stopRequest: null,
@@ -165,6 +166,7 @@
     if (machine.tasks.size === 0) machine.load.idleSince = this.clock.now();
     task.machine = null;
     task.startCommand = { kind: "none" };
+    task.unansweredStartAt = null;
     this.setReportedState(task, null);
     task.runningSince = null;
     task.stopRequest = null;
--- a/src/cluster/task.ts
+++ b/src/cluster/task.ts
@@ -4,7 +4,7 @@
 import type { Uint64 } from "../protocol/json.js";
 import type { TaskState } from "../protocol/worker.js";
 import type { TaskRecord } from "../storage/task-range-records.js";
-import type { Micros } from "../transport/clock.js";
+import { type Micros, seconds } from "../transport/clock.js";
 import type { Job } from "./job.js";
 import type { Machine } from "./machine.js";
 
@@ -30,6 +30,11 @@
   /** The machine it may be on. Counts against its capacity, the quota and spreading over zones. */
   machine: Machine | null;
   startCommand: StartCommandState;
+  /**
+   * When a start command was last sent to the machine without a response; null: none was. It may still be delivered, and a
+   * worker that has reset its counters meanwhile carries it out (docs/heartbeat-evidence.md).
+   */
+  unansweredStartAt: Micros | null;
   /** The state that the worker last reported; null: none. */
   state: TaskState | null;
   runningSince: Micros | null;
@@ -72,6 +77,18 @@
   task.machine?.name === task.recorded.machine &&
   isSameRecord(task.recorded, task.desired);
 
+/**
+ * Once a worker has listed the attempt, an earlier start without a response counts as on its way for so long after it was
+ * sent: the worker was reached since, and what an interruption holds back is delivered when the interruption ends
+ * (docs/heartbeat-evidence.md). Less than what a task may be left waiting after a fault.
+ */
+export const MAX_START_DELAY = seconds(60);
+
+/** Whether a start command may still be on its way to the task's machine, whatever its worker has shown since. */
+export const mayStartLate = ({ startCommand, unansweredStartAt }: Task, now: Micros): boolean =>
+  startCommand.kind === "sending" ||
+  (unansweredStartAt !== null && (startCommand.kind !== "observed" || now - unansweredStartAt < MAX_START_DELAY));
+
 /** Reported on its machine, and not exited there. */
 export const isActive = (task: Task): boolean =>
   task.machine !== null && task.state !== null && task.state !== "exited";
--- a/src/coordination/autoscaling/autoscaler.ts
+++ b/src/coordination/autoscaling/autoscaler.ts
@@ -14,7 +14,7 @@
 import type { CloudOffers } from "./cloud-offers.js";
 import { chooseMachineToConsolidate } from "./consolidation.js";
 import { DemandHistory } from "./demand-history.js";
-import { MAX_DELETIONS_PER_REQUEST, MachineDeletionQueue } from "./machine-deletion-queue.js";
+import { type DeletionPriority, MAX_DELETIONS_PER_REQUEST, MachineDeletionQueue } from "./machine-deletion-queue.js";
 import { MachineListReconciler } from "./machine-list-reconciler.js";
 import { ProvisioningRequests } from "./provisioning-requests.js";
 import { planScaling } from "./scale-plan.js";
@@ -65,8 +65,8 @@
   }
 
   /** Deletes the machines at the cloud. */
-  deleteMachines(machines: readonly Machine[]): Promise<void> {
-    return this.deletions.delete(machines);
+  deleteMachines(machines: readonly Machine[], priority: DeletionPriority = "normal"): Promise<void> {
+    return this.deletions.delete(machines, priority);
   }
 
   /** Reconciles the cloud's list and scales, each in its own period, until stopped. */
--- a/src/coordination/autoscaling/machine-deletion-queue.ts
+++ b/src/coordination/autoscaling/machine-deletion-queue.ts
@@ -15,6 +15,9 @@
 const MIN_RETRY_DELAY = ms(500);
 const MAX_RETRY_DELAY = seconds(5);
 
+/** `urgent`: before all that wait; tasks can't begin elsewhere until the machines are gone. */
+export type DeletionPriority = "normal" | "urgent";
+
 /** Deletes machines one request at a time: a request for each few machines left none for provisioning in a wave. */
 export class MachineDeletionQueue {
   private readonly pending: Machine[] = [];
@@ -33,9 +36,10 @@
   }
 
   /** Marks the machines as being deleted and deletes them. Resolved once the queue is empty or stopped. */
-  async delete(machines: readonly Machine[]): Promise<void> {
+  async delete(machines: readonly Machine[], priority: DeletionPriority = "normal"): Promise<void> {
     for (const machine of machines) machine.lifecycle.deleting = true;
-    this.pending.push(...machines);
+    if (priority === "urgent") this.pending.unshift(...machines);
+    else this.pending.push(...machines);
     if (this.deleting) return;
     this.deleting = true;
     try {
--- a/src/coordination/leadership/heartbeat-responder.ts
+++ b/src/coordination/leadership/heartbeat-responder.ts
@@ -57,6 +57,8 @@
     if (machine.reachability.probeToken !== null) this.verifyProbe(machine);
     // The commands first: giving them may raise the fencing sequence that the token shows.
     const responseCommands = this.commandsFor(machine, heartbeat, permitted);
+    if (permitted.command && freshness === "fenced")
+      responseCommands.push(...this.dependencies.commands.startsForResponse(machine));
     return { token: responseTokenOf(lease, machine), commands: responseCommands };
   }
 
@@ -98,12 +100,12 @@
     });
   }
 
-  private commandsFor(machine: Machine, heartbeat: Heartbeat, permitted: PermittedReplies): readonly Command[] {
+  private commandsFor(machine: Machine, heartbeat: Heartbeat, permitted: PermittedReplies): Command[] {
     const { context, commands } = this.dependencies;
     const stops = pendingStops(heartbeat.tasks, context.shard.jobs);
     return permitted.command
       ? [...commands.repeatableCommands(machine, stops), ...commands.forgetCommands(machine)]
-      : stops;
+      : [...stops];
   }
 
   private machineOf(heartbeat: Heartbeat): Machine {
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -8,11 +8,11 @@
 import type { HttpOutcome } from "../../transport/http.js";
 import { WORKER_REQUEST_TIMEOUT } from "../../transport/timeouts.js";
 import type { ShardContext } from "../context.js";
-import { fencingTokenOf, firstFencingToken, hasFencingSequencesLeft } from "../fencing-token.js";
+import { fencingTokenOf, firstFencingToken, hasFencingSequencesLeft, responseTokenOf } from "../fencing-token.js";
 import { LogEvent } from "../log-events.js";
 import { decideEvictions } from "./graceful-eviction.js";
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
-import { recordResponse, recordTimeout } from "./reachability.js";
+import { commandsArrive, recordResponse, recordTimeout } from "./reachability.js";
 
 const RETRY_DELAY = ms(500);
 /** Between two times that ended attempts are forgotten on one machine. */
@@ -47,6 +47,8 @@
   readonly askedAt: Micros;
 }
 
+const startOf = (task: Task): Command => ({ op: "start", task: task.name, attempt: attemptOf(task.desired) });
+
 /** Sends workers the difference between what is wanted on a machine and what it has reported. */
 export class CommandDispatcher {
   constructor(
@@ -55,8 +57,7 @@
   ) {}
 
   /**
-   * Commands that may be repeated at any time, for the response to a heartbeat. Starts are never among them: they
-   * go to /orders only, where a lost one is known to be lost. `pendingStops`: stops that go first, whatever else there is.
+   * Commands that may be repeated at any time, for the response to a heartbeat. `pendingStops`: stops that go first, whatever else there is.
    */
   repeatableCommands(machine: Machine, pendingStops: readonly Command[] = []): Command[] {
     const commands = [...pendingStops];
@@ -100,6 +101,20 @@
     return commands.slice(0, MAX_COMMANDS);
   }
 
+  /**
+   * Starts for the response to a fenced heartbeat: of tasks that are bound to the machine by a start that is still on its
+   * way, where direct commands do not arrive. A worker drops a response that comes late, so that one of these never does.
+   */
+  startsForResponse(machine: Machine): Command[] {
+    if (commandsArrive(machine.reachability) || !this.isTrusted(machine)) return [];
+    const tasks = this.startableTasks(machine).filter(({ unansweredStartAt }) => unansweredStartAt !== null);
+    if (tasks.length === 0) return [];
+    const token = responseTokenOf(this.context.lease, machine);
+    machine.fencing.startSequence = machine.fencing.sequence;
+    for (const task of tasks) task.startCommand = { kind: "uncertain", token };
+    return tasks.map(startOf);
+  }
+
   /** Is there anything that cannot wait for the response to the next heartbeat? */
   hasUrgentCommands(machine: Machine): boolean {
     if (machine.reported.unexpectedTasks.size > 0) return true;
@@ -124,7 +139,14 @@
     return ranges[Math.floor(index / size)]?.tasks[index % size] ?? null;
   }
 
+  /** What is to be started by a direct command. */
   private tasksToStart(machine: Machine): Task[] {
+    const startable = this.startableTasks(machine);
+    if (commandsArrive(machine.reachability)) return startable;
+    return startable.filter(({ unansweredStartAt }) => unansweredStartAt === null);
+  }
+
+  private startableTasks(machine: Machine): Task[] {
     const starts: Task[] = [];
     if (!this.context.mayStartTasks(machine)) return starts;
     for (const task of machine.tasks) {
@@ -177,10 +199,7 @@
     if (tasks.length === 0 && !probe && repeatable.length === 0) return null;
     const token = fencingTokenOf(this.context.lease, machine);
     if (tasks.length > 0) machine.fencing.startSequence = machine.fencing.sequence;
-    const commands: Command[] = [
-      ...repeatable,
-      ...tasks.map((task): Command => ({ op: "start", task: task.name, attempt: attemptOf(task.desired) })),
-    ];
+    const commands: Command[] = [...repeatable, ...tasks.map(startOf)];
     const starts = tasks.map((task): SentStart => ({ task, previous: task.startCommand }));
     for (const task of tasks) task.startCommand = { kind: "sending" };
     return { address, incarnation, token, commands, starts };
@@ -236,7 +255,7 @@
     const { clock } = this.context;
     machine.commands.nextAt = (clock.now() + RETRY_DELAY) as Micros;
     if (unsent) for (const { task, previous } of pendingStarts) task.startCommand = previous;
-    else this.markStartsUncertain(machine, request.token, pendingStarts);
+    else this.startsUnanswered(machine, request.token, pendingStarts);
     clock.after(RETRY_DELAY, () => this.context.scheduleCommands(machine));
   }
 
@@ -270,6 +289,12 @@
     recordTimeout(machine.reachability);
   }
 
+  /** The worker may carry the starts out at any time, also in a later life with reset counters. */
+  private startsUnanswered(machine: Machine, token: number, starts: readonly SentStart[]): void {
+    for (const { task } of starts) task.unansweredStartAt = this.context.clock.now();
+    this.markStartsUncertain(machine, token, starts);
+  }
+
   /**
    * A command got lost on the way and may arrive minutes later, under this token. From now on the machine is
    * sent a higher one; a heartbeat that shows it proves that the lost command is dropped.
--- a/src/coordination/workers/failure-detector.ts
+++ b/src/coordination/workers/failure-detector.ts
@@ -39,7 +39,7 @@
 export interface FailureDetectorDependencies {
   readonly context: ShardContext;
   readonly commands: Pick<CommandDispatcher, "queryStatus" | "send">;
-  readonly heartbeats: Pick<HeartbeatProcessor, "machineLost">;
+  readonly heartbeats: Pick<HeartbeatProcessor, "leaseExpired">;
   readonly autoscaler: Pick<Autoscaler, "deleteMachines" | "unreachableZones">;
   readonly unreachableZones: Pick<UnreachableZones, "lastAnsweredBefore" | "markUnreachable">;
   readonly guard: (work: Promise<unknown>) => Promise<void>;
@@ -120,11 +120,16 @@
     const expiryTime = Math.ceil(settings.workers.lease * MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN;
     for (const machine of shard.machines.values()) {
       this.applyInheritedSilence(machine);
-      if (machine.lease.expired || clock.now() - machine.lease.renewedAt <= expiryTime) continue;
+      if (machine.lease.expired) {
+        // A start that was being sent may have been answered since.
+        if (machine.tasks.size > 0) this.dependencies.heartbeats.leaseExpired(machine, LEASE_EXPIRY_REASON);
+        continue;
+      }
+      if (clock.now() - machine.lease.renewedAt <= expiryTime) continue;
       machine.lease.expired = true;
       // A message of the incarnation that is over must not bring its tasks back into the shard's state.
       if (machine.counters.incarnation !== null) machine.counters.expiredIncarnation = machine.counters.incarnation;
-      this.dependencies.heartbeats.machineLost(machine, LEASE_EXPIRY_REASON);
+      this.dependencies.heartbeats.leaseExpired(machine, LEASE_EXPIRY_REASON);
     }
   }
 
@@ -156,6 +161,7 @@
     if (this.transferIfNothingReachable(up, new Set(unanswered))) return;
     autoscaler.unreachableZones = cutOffZones;
     this.removal.removeUnreachable(up, cutOffZones);
+    this.removal.removeExpired(survey.silent, up.length);
     this.removeDead(survey, dead, cutOffZones);
   }
 
--- a/src/coordination/workers/heartbeat-processor.ts
+++ b/src/coordination/workers/heartbeat-processor.ts
@@ -2,7 +2,7 @@
 
 import { eventFieldsOf } from "../../cluster/events.js";
 import type { Machine } from "../../cluster/machine.js";
-import type { Task } from "../../cluster/task.js";
+import { mayStartLate, type Task } from "../../cluster/task.js";
 import type { Uint64 } from "../../protocol/json.js";
 import type { Heartbeat } from "../../protocol/worker.js";
 import { type Micros, seconds } from "../../transport/clock.js";
@@ -186,7 +186,10 @@
     counters.learnedAt = this.context.clock.now();
   }
 
-  /** The earlier incarnation is over, and with it all that was started in it and all commands that name it. */
+  /**
+   * The earlier incarnation is over, and with it all that was started in it and all commands that name it. A start that is
+   * still on its way would be carried out if the counters were reset some day: its task begins again on this machine.
+   */
   private startNewIncarnation(machine: Machine, heartbeat: Heartbeat): void {
     const startedTasks = [...machine.tasks].filter(({ startCommand }) => startCommand.kind !== "none");
     this.context.log.info(LogEvent.WorkerIncarnationChanged, {
@@ -194,8 +197,19 @@
       session: heartbeat.incarnation,
       tasks: startedTasks.length,
     });
-    for (const task of startedTasks) this.taskExits.taskGone(task);
+    for (const task of startedTasks) {
+      if (!mayStartLate(task, this.context.clock.now()) || task.job.cancelled) this.taskExits.taskGone(task);
+      else this.resetToUnstarted(task);
+    }
     clearReportedTasks(machine);
+    if (machine.tasks.size > 0) this.context.scheduleCommands(machine);
+  }
+
+  /** The task does not run on its machine and stays placed there. */
+  private resetToUnstarted(task: Task): void {
+    if (task.startCommand.kind !== "sending") task.startCommand = { kind: "none" };
+    this.context.shard.setReportedState(task, null);
+    task.runningSince = null;
   }
 
   /**
@@ -256,14 +270,35 @@
 
   /** The machine, its tasks and every command sent to it are surely gone. */
   machineLost(machine: Machine, why: string): void {
-    if (machine.tasks.size > 0) {
-      this.context.log.info(LogEvent.TasksLost, { machine: machine.name, why, tasks: machine.tasks.size });
+    this.tasksLost(machine, [...machine.tasks], why);
+    for (const task of [...machine.tasks]) {
+      task.unansweredStartAt = null;
+      this.taskExits.taskGone(task);
     }
-    for (const task of [...machine.tasks]) this.taskExits.taskGone(task);
     machine.reported.taskListText = null;
     clearReportedTasks(machine);
   }
 
+  /**
+   * The worker's lease has expired, and with it all that it ran has ended. The machine may be back with its counters reset,
+   * so a task whose start may still be delivered stays with it: until the machine is deleted, or heard again and the task
+   * started there.
+   */
+  leaseExpired(machine: Machine, why: string): void {
+    const now = this.context.clock.now();
+    const gone = [...machine.tasks].filter((task) => !mayStartLate(task, now));
+    this.tasksLost(machine, gone, why);
+    for (const task of gone) this.taskExits.taskGone(task);
+    for (const task of machine.tasks) this.resetToUnstarted(task);
+    machine.reported.taskListText = null;
+    clearReportedTasks(machine);
+  }
+
+  private tasksLost(machine: Machine, tasks: readonly Task[], why: string): void {
+    if (tasks.length > 0)
+      this.context.log.info(LogEvent.TasksLost, { machine: machine.name, why, tasks: tasks.length });
+  }
+
   /** The task is proved not to be on its machine. */
   taskGone(task: Task): void {
     this.taskExits.taskGone(task);
--- a/src/coordination/workers/task-exit-handler.ts
+++ b/src/coordination/workers/task-exit-handler.ts
@@ -2,7 +2,7 @@
 
 import { eventFieldsOf } from "../../cluster/events.js";
 import type { Machine } from "../../cluster/machine.js";
-import type { Task } from "../../cluster/task.js";
+import { MAX_START_DELAY, type Task } from "../../cluster/task.js";
 import type { ExitReason } from "../../protocol/worker.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 import { exponentialBackoff, type ShardContext } from "../context.js";
@@ -36,7 +36,10 @@
   /** The task is proved not to be on its machine: it waits for a place again, or ends with its cancelled job. */
   taskGone(task: Task): void {
     if (task.desired.kind === "placed") task.desired = { kind: "waiting", attempt: task.desired.attempt };
-    const { job } = task;
+    const { job, unansweredStartAt } = task;
+    // It may run on that machine again until then.
+    if (unansweredStartAt !== null)
+      task.earliestStart = Math.max(task.earliestStart, unansweredStartAt + MAX_START_DELAY) as Micros;
     this.context.shard.releaseTask(task);
     this.context.scheduleRound();
     if (job.cancelled) this.taskStates.finishIfComplete(job);
--- a/src/coordination/workers/task-list-reconciliation.ts
+++ b/src/coordination/workers/task-list-reconciliation.ts
@@ -1,7 +1,7 @@
 /** Reconciliation of a worker's list of tasks with the tasks that are placed on its machine. */
 
 import type { Machine } from "../../cluster/machine.js";
-import { attemptOf, type Task } from "../../cluster/task.js";
+import { attemptOf, mayStartLate, type Task } from "../../cluster/task.js";
 import type { Uint64 } from "../../protocol/json.js";
 import type { Heartbeat, TaskStatus } from "../../protocol/worker.js";
 import type { ShardContext } from "../context.js";
@@ -115,7 +115,7 @@
         if (token <= task.startCommand.token) return;
         task.startCommand = { kind: "none" };
         if (!this.mayStartAgain(machine, task)) this.taskExits.taskGone(task);
-        else if (task.machine !== null) this.context.scheduleCommands(task.machine);
+        else this.context.scheduleCommands(machine);
         return;
       case "observed":
         // Within one life of a worker no attempt vanishes that it was not told to forget. So its counters were reset, and the
@@ -127,7 +127,8 @@
   }
 
   /**
-   * Where commands do not arrive the task would wait for as long as they don't. Beyond its team's limit, or where its job's
+   * Where commands do not arrive the task would wait for as long as they don't, unless a start that is still on its way binds
+   * it to the machine: then it is started by the response to a heartbeat. Beyond its team's limit, or where its job's
    * other tasks keep it out of the zone, it must not be started: one record may be older than another that took its place,
    * and a new leader takes over both.
    */
@@ -135,7 +136,7 @@
     return (
       !task.job.cancelled &&
       task.stopRequest === null &&
-      isReachable(machine.reachability) &&
+      (isReachable(machine.reachability) || mayStartLate(task, this.context.clock.now())) &&
       this.context.shard.withinLimit(task.job.spec, 0) &&
       satisfiesZoneRules(task, machine)
     );
--- a/src/coordination/workers/unreachable-machine-removal.ts
+++ b/src/coordination/workers/unreachable-machine-removal.ts
@@ -2,8 +2,10 @@
 
 import { eventFieldsOf } from "../../cluster/events.js";
 import type { Machine } from "../../cluster/machine.js";
+import { mayStartLate } from "../../cluster/task.js";
 import type { Micros } from "../../transport/clock.js";
 import type { Autoscaler } from "../autoscaling/autoscaler.js";
+import type { DeletionPriority } from "../autoscaling/machine-deletion-queue.js";
 import type { ShardContext } from "../context.js";
 import { LogEvent } from "../log-events.js";
 import { isOwnFault, PROBE_TIMEOUT, UNREACHABLE_PROBE_INTERVAL, workerFailoverTime } from "./detection-timeouts.js";
@@ -51,6 +53,21 @@
     if (removals.length > 0) this.remove(removals, now);
   }
 
+  /**
+   * Silent machines past their lease to which a start is still on its way: as long as they may be back, its task can't begin
+   * elsewhere. `fleetSize`: of the machines that count as up.
+   */
+  removeExpired(silent: readonly Machine[], fleetSize: number): void {
+    const now = this.dependencies.context.clock.now();
+    const lateStarts = (machine: Machine): number =>
+      [...machine.tasks].filter((task) => mayStartLate(task, now)).length;
+    const removals = silent
+      .filter((machine) => machine.lease.expired && !machine.lifecycle.deleting && lateStarts(machine) > 0)
+      .sort((a, b) => lateStarts(b) - lateStarts(a))
+      .slice(0, this.removalBudget(fleetSize, now));
+    if (removals.length > 0) this.remove(removals, now, "urgent");
+  }
+
   private isRemovable({ reachability }: Machine, now: Micros, minUnreachableTime: number): boolean {
     const { unreachableSince, probedAt } = reachability;
     if (unreachableSince === null || (!isOneWay(reachability) && responsesArrive(reachability))) return false;
@@ -73,13 +90,13 @@
     return Math.max(0, limit - this.recentRemovals.length);
   }
 
-  private remove(machines: readonly Machine[], now: Micros): void {
+  private remove(machines: readonly Machine[], now: Micros, priority: DeletionPriority = "normal"): void {
     const { settings, log, eventListener } = this.dependencies.context;
     for (const machine of machines) {
       this.recentRemovals.push(now);
       eventListener?.({ kind: "machine silent", span: settings.workers.lease, ...eventFieldsOf(machine) });
     }
     log.info(LogEvent.UnreachableMachinesRemoved, { machines: machines.map(({ name }) => name) });
-    void this.dependencies.guard(this.dependencies.autoscaler.deleteMachines(machines));
+    void this.dependencies.guard(this.dependencies.autoscaler.deleteMachines(machines, priority));
   }
 }
