Tests of late starts: what holds a task, what frees it, and the bound on deletions

Each variant by itself: lease expiry, token and incarnation; a start that is being sent; commands that do not arrive; a task that ends; a half of the fleet cut off (a tenth a lease); the order of deletions.

--- /dev/null
+++ b/test/late-starts.test.ts
@@ -0,0 +1,170 @@
+/**
+ * Start commands without a response, which may be delivered in a later life of their worker. Lease expiry, a higher token
+ * and a new incarnation used to free the task; it was started elsewhere, and the start that a cut had held back ran it a
+ * second time on the machine that was back with its counters reset ("worker lease over", then the launch under the old
+ * token in the trace; docs/incidents/late-start.md).
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Machine } from "../src/cluster/machine.js";
+import { MAX_START_DELAY, mayStartLate, type Task } from "../src/cluster/task.js";
+import type { CloudClient } from "../src/coordination/autoscaling/cloud-client.js";
+import { type DeletionPriority, MachineDeletionQueue } from "../src/coordination/autoscaling/machine-deletion-queue.js";
+import { CommandDispatcher } from "../src/coordination/workers/command-dispatcher.js";
+import { HeartbeatProcessor } from "../src/coordination/workers/heartbeat-processor.js";
+import { UnreachableMachineRemoval } from "../src/coordination/workers/unreachable-machine-removal.js";
+import type { TaskStatus } from "../src/protocol/worker.js";
+import type { Micros } from "../src/transport/clock.js";
+import type { HttpOutcome } from "../src/transport/http.js";
+import { makeShard, nothing, placedTask, report, SPEC } from "./shard-fixtures.js";
+
+const HEARTBEAT = { kind: "heartbeat" } as const;
+const TOKEN = 65_536;
+
+/** A task whose start was sent and had no response, and its machine. */
+const lostStart = async () => {
+  const lost: HttpOutcome = { kind: "lost" };
+  const { shard, context, taskStates, world } = makeShard(1, [lost, lost, lost]);
+  const machine = [...shard.machines.values()][0] as Machine;
+  const heartbeats = new HeartbeatProcessor(context, taskStates);
+  const dispatcher = new CommandDispatcher(context, heartbeats);
+  heartbeats.process(machine, report({ sequence: 1 }), HEARTBEAT);
+  const task = placedTask(shard, machine);
+  await dispatcher.send(machine);
+  return { shard, context, world, machine, heartbeats, dispatcher, task };
+};
+
+const isHeld = (task: Task, machine: Machine): void => {
+  assert.equal(task.machine, machine);
+  assert.equal(task.desired.kind, "placed");
+};
+
+test("neither lease expiry nor a higher token nor a new incarnation frees a task whose start had no response", async () => {
+  const { machine, heartbeats, task } = await lostStart();
+  assert.deepEqual(task.startCommand, { kind: "uncertain", token: TOKEN });
+  heartbeats.leaseExpired(machine, "worker lease over");
+  isHeld(task, machine);
+  heartbeats.process(machine, report({ sequence: 2, token: TOKEN + 1 }), HEARTBEAT);
+  isHeld(task, machine);
+  heartbeats.process(machine, report({ incarnation: 2, sequence: 3, token: TOKEN + 1 }), HEARTBEAT);
+  isHeld(task, machine);
+  heartbeats.machineLost(machine, "deleted");
+  assert.equal(task.machine, null);
+  assert.equal(task.earliestStart, 0);
+});
+
+test("a task is held while its start is being sent, and freed once that turns out not to have left", async () => {
+  const { shard, context, taskStates } = makeShard(1);
+  const machine = [...shard.machines.values()][0] as Machine;
+  const heartbeats = new HeartbeatProcessor(context, taskStates);
+  const task = placedTask(shard, machine);
+  heartbeats.process(machine, report({ sequence: 1 }), HEARTBEAT);
+  let answer: (outcome: HttpOutcome) => void = nothing;
+  Object.assign(context, { http: { call: () => new Promise<HttpOutcome>((resolve) => (answer = resolve)) } });
+  const sent = new CommandDispatcher(context, heartbeats).send(machine);
+  heartbeats.leaseExpired(machine, "worker lease over");
+  isHeld(task, machine);
+  answer({ kind: "unsent" });
+  await sent;
+  heartbeats.leaseExpired(machine, "worker lease over");
+  assert.equal(task.machine, null);
+});
+
+test("where commands do not arrive, a held task is started by the response to a heartbeat, and by no command", async () => {
+  const { machine, heartbeats, dispatcher, task } = await lostStart();
+  const start = [{ op: "start", task: task.name, attempt: 1 }];
+  assert.deepEqual(dispatcher.startsForResponse(machine), [], "one without a response may just be lost");
+  machine.reachability.consecutiveTimeouts = 2;
+  heartbeats.process(machine, report({ sequence: 2, token: TOKEN + 1 }), HEARTBEAT);
+  assert.deepEqual(dispatcher.startsForResponse(machine), start);
+  // The worker had no use for that response: the next one has it again.
+  heartbeats.process(machine, report({ sequence: 3, token: TOKEN + 1 }), HEARTBEAT);
+  assert.deepEqual(dispatcher.startsForResponse(machine), start);
+  const sent: string[] = [];
+  const call = async (_: string, { body }: { body: string }): Promise<HttpOutcome> => {
+    sent.push(body);
+    return { kind: "lost" };
+  };
+  Object.assign((dispatcher as unknown as { context: object }).context, { http: { call } });
+  await dispatcher.send(machine, true);
+  assert.ok(sent.length === 1 && !sent[0]?.includes("launch"), sent[0]);
+  const tasks: TaskStatus[] = [{ task: task.name, attempt: 1, state: "running", reason: null }];
+  heartbeats.process(machine, report({ sequence: 4, token: TOKEN + 1, tasks }), HEARTBEAT);
+  assert.equal(task.startCommand.kind, "observed");
+  assert.deepEqual(dispatcher.startsForResponse(machine), []);
+});
+
+test("a task that ends where an earlier start may still be delivered begins no sooner than that can't be", async () => {
+  const { shard, world, machine, heartbeats, task } = await lostStart();
+  const sentAt = task.unansweredStartAt as Micros;
+  world.now += 5_000_000;
+  const exited: TaskStatus[] = [{ task: task.name, attempt: 1, state: "exited", reason: "stopped" }];
+  heartbeats.process(machine, report({ sequence: 2, token: TOKEN + 1, tasks: exited }), HEARTBEAT);
+  assert.equal(task.machine, null);
+  assert.equal(task.earliestStart, sentAt + MAX_START_DELAY);
+  // Nothing is held back for a job that is over where it ran.
+  assert.equal(shard.teamUsage(SPEC.team).cpu, 0);
+});
+
+test("silent machines past their lease with held tasks are deleted first, at most a tenth of the fleet within a lease", () => {
+  const { shard, context, world } = makeShard(40);
+  Object.assign(context, { eventListener: null });
+  const deleted: { names: string[]; priority: DeletionPriority | undefined }[] = [];
+  const removal = new UnreachableMachineRemoval({
+    context,
+    autoscaler: {
+      deleteMachines: async (machines, priority) => {
+        for (const machine of machines) machine.lifecycle.deleting = true;
+        deleted.push({ names: machines.map(({ name }) => name), priority });
+      },
+    },
+    guard: async () => undefined,
+    onUnreachable: async () => undefined,
+  });
+  const machines = [...shard.machines.values()];
+  // Half of the fleet is cut off; to ten of its machines a start was on its way.
+  const silent = machines.slice(0, 20);
+  for (const [at, machine] of silent.entries()) {
+    machine.lease.expired = true;
+    if (at % 2 === 0) Object.assign(placedTask(shard, machine), { unansweredStartAt: context.clock.now() });
+    shard.jobs.clear();
+  }
+  const check = (): number => {
+    const before = deleted.length;
+    removal.removeExpired(silent, machines.length);
+    return deleted.slice(before).flatMap(({ names }) => names).length;
+  };
+  assert.equal(check(), 4);
+  assert.equal(check(), 0);
+  world.now += context.settings.workers.lease + 1;
+  assert.equal(check(), 4);
+  world.now += context.settings.workers.lease + 1;
+  assert.equal(check(), 2);
+  assert.ok(deleted.every(({ priority }) => priority === "urgent"));
+  const names = new Set(deleted.flatMap((batch) => batch.names));
+  assert.equal(names.size, 10);
+  for (const machine of silent)
+    assert.equal(
+      names.has(machine.name),
+      [...machine.tasks].some((task) => mayStartLate(task, context.clock.now())),
+    );
+});
+
+test("machines with held tasks go before all others that wait for their deletion", async () => {
+  const { shard, context, taskStates } = makeShard(250);
+  Object.assign(context, { eventListener: null });
+  const batches: (readonly string[])[] = [];
+  const cloud = {
+    deleteMachines: async (names: readonly string[]) => {
+      batches.push(names);
+      return { kind: "ok", value: null };
+    },
+  } as unknown as CloudClient;
+  const queue = new MachineDeletionQueue(context, cloud, new HeartbeatProcessor(context, taskStates));
+  const machines = [...shard.machines.values()];
+  const all = queue.delete(machines.slice(0, 249));
+  await queue.delete(machines.slice(249), "urgent");
+  await all;
+  assert.equal(batches.flat().length, 250);
+  assert.equal(batches[1]?.[0], "n-249");
+});
