Machines and bins are made field by field: one hidden class each

Change: the five fields are named; the same for the bins of a scaling plan. A test asks the engine whether any two have one hidden class; it fails before.

--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -154,8 +154,14 @@
 const NEVER = 0 as Micros;
 
 /** A machine of which nothing has been heard yet. `now`: taken for the time of its provisioning and of its lease. */
-export const createMachine = (description: MachineDescription, now: Micros): Machine => ({
-  ...description,
+export const createMachine = ({ name, typeName, type, zone, spot }: MachineDescription, now: Micros): Machine => ({
+  // Field by field, not by a spread: after a spread the engine gives each object a hidden class of its own, and every read
+  // of any machine misses the inline caches (a half more processor time for a leader of 1,151 machines).
+  name,
+  typeName,
+  type,
+  zone,
+  spot,
   address: null,
   state: "booting",
   tasks: new Set(),
--- a/src/coordination/autoscaling/capacity-bins.ts
+++ b/src/coordination/autoscaling/capacity-bins.ts
@@ -32,10 +32,12 @@
 }
 
 /** An empty bin for a machine that has not been provisioned yet. */
-export const newBin = (offer: MachineOffer): CapacityBin => ({
-  ...offer,
+export const newBin = ({ type, zone, spot }: MachineOffer): CapacityBin => ({
+  type,
+  zone,
+  spot,
   machine: null,
-  free: offer.type.capacity,
+  free: type.capacity,
   used: false,
   reason: null,
 });
@@ -49,8 +51,8 @@
 /** Those in use first, spot instances before others: what stays empty at the end can be returned. */
 const readyBins = (snapshot: SchedulerSnapshot): MachineBin[] => {
   const groups: [MachineBin[], MachineBin[], MachineBin[], MachineBin[]] = [[], [], [], []];
-  for (const [machine, type] of readyMachines(snapshot)) {
-    const { zone, spot } = machine;
+  for (const machine of readyMachines(snapshot)) {
+    const { type, zone, spot } = machine;
     const used = machine.tasks.size > 0;
     const free = subtractResources(type.capacity, machine.load.used);
     groups[(used ? 0 : 2) + (spot ? 0 : 1)]?.push({ type, zone, spot, machine, free, used, reason: null });
--- /dev/null
+++ b/test/object-shapes.test.ts
@@ -0,0 +1,41 @@
+/**
+ * Objects that rounds and checks walk by the thousand have one hidden class each, so that reading their fields hits the
+ * engine's inline caches. Machines made by a spread had one hidden class apiece: found by bisection of the processor
+ * time of one day (24 s before that change, 37 s after it), seen as `HaveSameMap` being false for any two of them.
+ */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInThisContext } from "node:vm";
+import { createMachine, type Machine } from "../src/cluster/machine.js";
+import { newBin } from "../src/coordination/autoscaling/capacity-bins.js";
+import type { Micros } from "../src/transport/clock.js";
+import { TYPES } from "./shard-fixtures.js";
+
+setFlagsFromString("--allow-natives-syntax");
+const haveSameHiddenClass = runInThisContext("(a, b) => %HaveSameMap(a, b)") as (a: object, b: object) => boolean;
+
+const makeMachine = (number: number): Machine =>
+  createMachine(
+    { name: `n-${number}`, typeName: "big", type: TYPES[0] ?? null, zone: "east", spot: number % 2 === 0 },
+    (number * 1_000_000) as Micros,
+  );
+
+test("all machines have one hidden class, and so has each of their parts", () => {
+  const machines = Array.from({ length: 100 }, (_, number) => makeMachine(number));
+  const [first, ...others] = machines as [Machine, ...Machine[]];
+  const { counters, reachability, lease, fencing, load, reported, lifecycle, commands } = first;
+  const parts = { counters, reachability, lease, fencing, load, reported, lifecycle, commands };
+  for (const other of others) {
+    assert.ok(haveSameHiddenClass(first, other), other.name);
+    for (const [name, part] of Object.entries(parts))
+      assert.ok(haveSameHiddenClass(part, other[name as keyof typeof parts]), `${name} of ${other.name}`);
+  }
+});
+
+test("all bins of a scaling plan have one hidden class", () => {
+  const type = TYPES[0];
+  assert.ok(type !== undefined);
+  const bins = Array.from({ length: 20 }, (_, number) => newBin({ type, zone: `z-${number}`, spot: false }));
+  for (const bin of bins) assert.ok(haveSameHiddenClass(bins[0] as object, bin));
+});
