Checks and rounds walk the fleet without allocating for each machine

Evictions are asked for every machine four times a second: a list that is mostly the same empty one in place of a generator and two copies. The survey of silent machines is one walk in place of four; findings on zones change their counters in place; ready machines come as a list, their pool from a loop with a name.

--- a/src/coordination/scheduling/candidate-index.ts
+++ b/src/coordination/scheduling/candidate-index.ts
@@ -8,7 +8,7 @@
 import type { Resources } from "../../protocol/resources.js";
 import type { Micros } from "../../transport/clock.js";
 import { mayBackfill, type Reservation } from "./capacity-reservation.js";
-import { allows, readyMachines, unready, zoneAllowed, zoneCounts } from "./eligibility.js";
+import { allows, isReady, readyMachines, zoneAllowed, zoneCounts } from "./eligibility.js";
 import type { GuaranteeUsage } from "./guarantee-usage.js";
 import { countThatFit, fits, type Images, subtractResources } from "./placement/bfgp.js";
 import type { RankedServer } from "./placement/ranking.js";
@@ -88,7 +88,7 @@
 /** Machines that can take tasks now, with what is left on them. */
 export const listCandidates = (snapshot: SchedulerSnapshot): Candidate[] => {
   const list: Candidate[] = [];
-  for (const [machine, type] of readyMachines(snapshot)) list.push(asCandidate(machine, type, list.length));
+  for (const machine of readyMachines(snapshot)) list.push(asCandidate(machine, machine.type, list.length));
   return list;
 };
 
@@ -119,6 +119,15 @@
   return smallest;
 };
 
+/** The machine's pool among these, added where it is not there yet. */
+const findOrAddPool = (pools: MachinePool[], { typeName, zone, spot }: Machine): MachinePool => {
+  for (const known of pools)
+    if (known.zone === zone && known.spot === spot && known.typeName === typeName) return known;
+  const pool: MachinePool = { typeName, zone, spot, total: 0, withReplicas: 0, candidates: [] };
+  pools.push(pool);
+  return pool;
+};
+
 /** Indexes the ready machines for the jobs that wait, as a round finds them. */
 export const buildCandidateIndex = (
   snapshot: SchedulerSnapshot,
@@ -131,14 +140,9 @@
   const machines: Machine[] = [];
   // Written out, since it is walked for every machine in every round: no generator, no key made up for each.
   for (const machine of snapshot.shard.machines.values()) {
+    if (!isReady(machine, snapshot)) continue;
     const { type } = machine;
-    if (type === null || unready(machine, snapshot) !== null) continue;
-    const { typeName, zone, spot } = machine;
-    let pool = pools.find((known) => known.zone === zone && known.spot === spot && known.typeName === typeName);
-    if (pool === undefined) {
-      pool = { typeName, zone, spot, total: 0, withReplicas: 0, candidates: [] };
-      pools.push(pool);
-    }
+    const pool = findOrAddPool(pools, machine);
     pool.total += 1;
     if (machine.load.replicas > 0) pool.withReplicas += 1;
     const { used } = machine.load;
--- a/src/coordination/scheduling/eligibility.ts
+++ b/src/coordination/scheduling/eligibility.ts
@@ -67,13 +67,19 @@
     : null;
 };
 
-/** Machines that can take tasks now. */
-export function* readyMachines(snapshot: SchedulerSnapshot): Generator<readonly [Machine, MachineType]> {
-  for (const machine of snapshot.shard.machines.values()) {
-    const { type } = machine;
-    if (type !== null && unready(machine, snapshot) === null) yield [machine, type];
-  }
-}
+/** A machine whose type is known. */
+export type TypedMachine = Machine & { readonly type: MachineType };
+
+/** Whether the machine can take tasks now. */
+export const isReady = (machine: Machine, snapshot: SchedulerSnapshot): machine is TypedMachine =>
+  unready(machine, snapshot) === null;
+
+/** Machines that can take tasks now. Not a generator: rounds and scaling plans walk the whole fleet. */
+export const readyMachines = (snapshot: SchedulerSnapshot): readonly TypedMachine[] => {
+  const ready: TypedMachine[] = [];
+  for (const machine of snapshot.shard.machines.values()) if (isReady(machine, snapshot)) ready.push(machine);
+  return ready;
+};
 
 /** Why a job can never run here, whatever comes free; null if it can. */
 export const neverRuns = (
--- a/src/coordination/scheduling/pool-summary.ts
+++ b/src/coordination/scheduling/pool-summary.ts
@@ -24,7 +24,8 @@
 
 const totalPools = (snapshot: SchedulerSnapshot): Map<string, PoolTotals> => {
   const pools = new Map<string, PoolTotals>();
-  for (const [machine, type] of readyMachines(snapshot)) {
+  for (const machine of readyMachines(snapshot)) {
+    const { type } = machine;
     const key = `${machine.typeName}/${machine.zone}/${machine.spot ? "spot" : "ordinary"}`;
     const pool = pools.get(key) ?? { machines: 0, freeCpus: 0, replicas: 0, otherTasks: 0 };
     pools.set(key, pool);
--- a/src/coordination/workers/failure-detector.ts
+++ b/src/coordination/workers/failure-detector.ts
@@ -118,14 +118,15 @@
   expireLeases(): void {
     const { clock, settings, shard } = this.dependencies.context;
     const expiryTime = Math.ceil(settings.workers.lease * MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN;
+    const now = clock.now();
     for (const machine of shard.machines.values()) {
-      this.applyInheritedSilence(machine);
+      if (machine.counters.incarnation === null) this.applyInheritedSilence(machine);
       if (machine.lease.expired) {
         // A start that was being sent may have been answered since.
         if (machine.tasks.size > 0) this.dependencies.heartbeats.leaseExpired(machine, LEASE_EXPIRY_REASON);
         continue;
       }
-      if (clock.now() - machine.lease.renewedAt <= expiryTime) continue;
+      if (now - machine.lease.renewedAt <= expiryTime) continue;
       machine.lease.expired = true;
       // A message of the incarnation that is over must not bring its tasks back into the shard's state.
       if (machine.counters.incarnation !== null) machine.counters.expiredIncarnation = machine.counters.incarnation;
@@ -135,7 +136,6 @@
 
   /** A machine not heard of here has no lease renewed later than the time that the leader before left on record. */
   private applyInheritedSilence(machine: Machine): void {
-    if (machine.counters.incarnation !== null) return;
     const answeredBefore = this.dependencies.unreachableZones.lastAnsweredBefore(machine.zone);
     if (answeredBefore !== null && answeredBefore < machine.lease.renewedAt) machine.lease.renewedAt = answeredBefore;
   }
@@ -170,15 +170,23 @@
     const { heartbeatInterval } = settings.workers;
     const machineSilence = heartbeatInterval * options.silentReports;
     // One that is only known from the records, and by now should have been heard of, counts like one fallen silent.
-    const up = [...shard.machines.values()].filter(
-      (machine) => (machine.state === "up" || machine.tasks.size > 0) && !machine.lifecycle.deleting,
-    );
+    const up: Machine[] = [];
+    const silent: Machine[] = [];
+    let latestHeartbeatAt = 0;
+    // One walk, four times a second over the whole fleet.
+    for (const machine of shard.machines.values()) {
+      if ((machine.state !== "up" && machine.tasks.size === 0) || machine.lifecycle.deleting) continue;
+      const { lastHeartbeatAt } = machine.reachability;
+      up.push(machine);
+      if (now - lastHeartbeatAt > machineSilence) silent.push(machine);
+      latestHeartbeatAt = Math.max(latestHeartbeatAt, lastHeartbeatAt);
+    }
     return {
       now,
       limits: { machineSilence, heartbeatInterval },
       up,
-      silent: up.filter((machine) => now - machine.reachability.lastHeartbeatAt > machineSilence),
-      lastHeartbeatAt: up.reduce((latest, machine) => Math.max(latest, machine.reachability.lastHeartbeatAt), 0),
+      silent,
+      lastHeartbeatAt: latestHeartbeatAt,
       storeHeard: now - (cache.freshAsOf ?? now) <= STORE_SILENCE_LIMIT,
     };
   }
--- a/src/coordination/workers/graceful-eviction.ts
+++ b/src/coordination/workers/graceful-eviction.ts
@@ -26,18 +26,27 @@
   return { kind: "stop", task, graceS: savesCheckpoint ? Math.ceil(spec.checkpointDurationS) : 0 };
 };
 
-/** What is to leave a machine that is to be empty: tasks that will not end by themselves in time. */
-export function* decideEvictions(machine: Machine, now: Micros): Generator<EvictionAction> {
-  const reclaimAt = machine.lifecycle.reclaimAt;
-  for (const task of [...machine.tasks]) {
-    // Told to stop before it was ever started.
-    if (task.stopRequest !== null && task.startCommand.kind === "none") yield { kind: "release", task };
-  }
+const NO_ACTIONS: readonly EvictionAction[] = [];
+
+/**
+ * What is to leave a machine that is to be empty: tasks that will not end by themselves in time. Asked for every machine
+ * four times a second, and mostly nothing: then nothing is allocated.
+ */
+export const decideEvictions = (machine: Machine, now: Micros): readonly EvictionAction[] => {
+  const { reclaimAt, drainReason } = machine.lifecycle;
   // A faulty machine fails what it starts; what runs there already is left alone.
-  if (reclaimAt === null && machine.lifecycle.drainReason !== "scale-in") return;
-  for (const task of [...machine.tasks]) {
-    if (task.stopRequest !== null) continue;
-    const action = evictionOf(task, reclaimAt, now);
-    if (action !== null) yield action;
+  const leaving = reclaimAt !== null || drainReason === "scale-in";
+  let actions: EvictionAction[] | null = null;
+  for (const task of machine.tasks) {
+    const action =
+      task.stopRequest !== null ? releaseOfUnstarted(task) : leaving ? evictionOf(task, reclaimAt, now) : null;
+    if (action === null) continue;
+    actions ??= [];
+    actions.push(action);
   }
-}
+  return actions ?? NO_ACTIONS;
+};
+
+/** A task that was told to stop before it was ever started. */
+const releaseOfUnstarted = (task: Task): EvictionAction | null =>
+  task.startCommand.kind === "none" ? { kind: "release", task } : null;
--- a/src/coordination/workers/zone-findings.ts
+++ b/src/coordination/workers/zone-findings.ts
@@ -37,11 +37,14 @@
   const contacts = new Map<string, ZoneContact>();
   for (const machine of machines) {
     const { reachability } = machine;
-    const contact = contacts.get(machine.zone) ?? { lastResponseAt: 0, lastHeard: machine, machines: 0 };
+    let contact = contacts.get(machine.zone);
+    if (contact === undefined) {
+      contact = { lastResponseAt: 0, lastHeard: machine, machines: 0 };
+      contacts.set(machine.zone, contact);
+    }
     contact.lastResponseAt = Math.max(contact.lastResponseAt, reachability.lastResponseAt);
     if (reachability.lastHeartbeatAt > contact.lastHeard.reachability.lastHeartbeatAt) contact.lastHeard = machine;
     contact.machines += 1;
-    contacts.set(machine.zone, contact);
   }
   return contacts;
 };
@@ -51,8 +54,11 @@
   const zones = new Map<string, { machines: number; unreachable: number }>();
   for (const machine of machines) {
     if (machine.zone === "") continue;
-    const counts = zones.get(machine.zone) ?? { machines: 0, unreachable: 0 };
-    zones.set(machine.zone, counts);
+    let counts = zones.get(machine.zone);
+    if (counts === undefined) {
+      counts = { machines: 0, unreachable: 0 };
+      zones.set(machine.zone, counts);
+    }
     counts.machines += 1;
     if (dead.has(machine) || !isReachable(machine.reachability)) counts.unreachable += 1;
   }
@@ -69,11 +75,13 @@
   for (const { zone, reachability } of machines) {
     // Known from the records only: in no zone that anything could be concluded of.
     if (zone === "") continue;
-    const known = zones.get(zone) ?? { machines: 0, lastHeartbeatAt: 0 };
-    zones.set(zone, {
-      machines: known.machines + 1,
-      lastHeartbeatAt: Math.max(known.lastHeartbeatAt, reachability.lastHeartbeatAt),
-    });
+    let known = zones.get(zone);
+    if (known === undefined) {
+      known = { machines: 0, lastHeartbeatAt: 0 };
+      zones.set(zone, known);
+    }
+    known.machines += 1;
+    known.lastHeartbeatAt = Math.max(known.lastHeartbeatAt, reachability.lastHeartbeatAt);
   }
   const silent = [...zones].filter(
     ([, known]) =>
