--- a/src/coordination/autoscaling/cloud-client.ts
+++ b/src/coordination/autoscaling/cloud-client.ts
@@ -42,7 +42,7 @@
   }
 
   async provision(
-    ask: string,
+    requestName: string,
     type: string,
     zone: string,
     spot: boolean,
@@ -51,7 +51,7 @@
     return this.request(
       "POST",
       "/hosts",
-      encodeProvisioningRequest(ask, type, zone, spot, count),
+      encodeProvisioningRequest(requestName, type, zone, spot, count),
       decodeProvisionedNames,
     );
   }
--- a/src/coordination/extension.ts
+++ b/src/coordination/extension.ts
@@ -14,14 +14,14 @@
   onChange(change: KeyChange): void;
   /** The job's outcome is on record. */
   onJobEnded(spec: JobSpec, end: OutcomeRecord): void;
-  /** One of the job's tasks ended badly; it will be tried again unless somebody withdraws the job. */
+  /** One of the job's tasks ended badly; it is retried unless the job is cancelled. */
   onTaskFailed(spec: JobSpec, index: number, reason: ExitReason): void;
   stop(): void;
 }
 
 /** What the kernel lets an extension do with a block, beside writing through the committer. */
 export interface ShardControls {
-  /** Stops every open job that `withdrawn` now speaks of: its word is on record, with no write for each job. */
+  /** Cancels every open job that `isWithdrawn` is now true of: the extension has recorded that, with no write for each job. */
   cancelWithdrawnJobs(ids: Iterable<string>): void;
 }
 
--- a/src/coordination/leadership/lease-authority.ts
+++ b/src/coordination/leadership/lease-authority.ts
@@ -28,7 +28,7 @@
   readonly tokenSeen: boolean;
   /** Neither commands nor answers get there. */
   readonly oneWay: boolean;
-  /** For how long all its reports may have been from before this holder's time. */
+  /** For how long all its heartbeats may have been from before this leader's time. */
   readonly unverifiedFor: Micros;
   readonly workerLease: Micros;
 }
@@ -42,8 +42,8 @@
 }
 
 /**
- * A worker whose reports come while nothing gets there might take any answer of ours: so that its lease, and with it what it
- * runs, is surely over some day, it gets none until a question has been answered.
+ * A worker whose heartbeats arrive while nothing gets there might accept any response: so that its lease, and with it what it
+ * runs, is sure to end, it gets none until it has answered a status query.
  */
 export const permittedReplies = ({
   freshness,
@@ -57,10 +57,10 @@
 };
 
 /**
- * Stops for all on the worker's list whose job is withdrawn or over, whatever else is known of the machine. A worker takes an
- * answer as a whole or not at all, so that no lease is renewed past a withdrawal that the answerer knows of. Each new
- * holder used to renew once without them, before its token had been seen: with a holder a lease, tasks of withdrawn jobs ran on for
- * ever. A job unknown here has ended: whoever may answer has read all that was accepted before anything of it was started.
+ * Stops for all listed tasks whose job is cancelled or has ended, whatever else is known of the machine. A worker accepts a
+ * response as a whole or not at all, so that no lease is renewed past a cancellation that the sender knows of. Each new
+ * leader used to renew once without them, before its token had been seen: with a new leader in every lease, tasks of cancelled
+ * jobs ran on for ever. An unknown job has ended: a leader has read every accepted job before it starts anything of it.
  */
 export const pendingStops = (
   tasks: Heartbeat["tasks"],
--- a/src/coordination/overload/load-shedder.ts
+++ b/src/coordination/overload/load-shedder.ts
@@ -7,7 +7,7 @@
 /**
  * What a controller leaves out as its load grows, each level beside what the ones before it do (docs/overload.md):
  * `reduced`: optional work (emptying machines, moving replicas, most searches for something to stop, asking machines for
- * their state); `degraded`: rounds and rental plans are made less often, and a holder sends the load balancer's new
+ * their state); `degraded`: rounds and scaling plans are made less often, and a leader sends the load balancer's new
  * users to the others; `saturated`: nothing more is accepted or rented. Reports and stops go on at every level: an answer
  * to a report is the cheapest thing that keeps a machine's tasks alive.
  */
