--- a/src/model/site.ts
+++ b/src/model/site.ts
@@ -360,11 +360,14 @@
     this.network.cut((a, b) => a === address && this.isNode(b), forUs, mode);
   }
 
-  /** Cuts all machines of a zone off from every controller. */
+  /** Cuts all machines of a zone off from every controller, those that come up meanwhile, too. */
   cutZone(zone: string, forUs: number, mode: "hold" | "reset"): void {
-    const inside = new Set(
-      this.cloud.running().flatMap(({ info, worker }) => (info.zone === zone && worker ? [worker.host.address] : [])),
-    );
-    this.network.cut((a, b) => inside.has(a) && this.isNode(b), forUs, mode);
+    const zones = new Map<string, string>();
+    const zoneOf = (address: string): string | undefined => {
+      if (!zones.has(address))
+        for (const { info, worker } of this.cloud.running()) if (worker) zones.set(worker.host.address, info.zone);
+      return zones.get(address);
+    };
+    this.network.cut((a, b) => this.isNode(b) && !this.isNode(a) && zoneOf(a) === zone, forUs, mode);
   }
 }
--- a/test/fault-pairs.test.ts
+++ b/test/fault-pairs.test.ts
@@ -163,3 +163,16 @@
     assert.equal(await troubles(cluster), "");
   }
 });
+
+test("a zone that is cut off cuts machines that come up meanwhile, too", async () => {
+  const cluster = await playFaults(true, (c) => c.site.cutZone("west", 30 * S, "hold"));
+  // Whatever was on its way has arrived by then.
+  const linesBefore = cluster.log.length;
+  await cluster.run(29 * S);
+  const machinesUp = cluster.log.slice(linesBefore).filter((line) => line.includes(` ${LogEvent.MachineUp} `));
+  assert.ok(machinesUp.some((line) => line.includes('"zone":"east"')));
+  assert.deepEqual(
+    machinesUp.filter((line) => line.includes('"zone":"west"')),
+    [],
+  );
+});
