A held task is not released where its machine is emptied or it was to be stopped

What callers saw: nothing yet; found by reading. A task to whose machine a start had been sent without a response was released, and placed elsewhere a minute later without the machine's deletion, in three ways: its machine was to be emptied for scale-in, for a reclaim notice, or the task was to be stopped. Its resources and its team's limit counted as free at once. A machine that was back with its counters reset would have run it a second time.

Cause: decideEvictions and the reconciliation of task lists took "no start can arrive" from the start command's state alone.

Mend: one function, mayRelease, is asked at each place that frees a task that does not run (new incarnation, lease expiry, task list, eviction). A machine that is to be emptied and holds nothing else is deleted, which proves the task gone; nothing more is started on such a machine. A stop request is dropped, and the task started on its machine again. Beyond its team's limit a held task goes on counting and is started once there is room. Left as it was: where the zone rules keep it out of its zone it is placed elsewhere after a minute, since no deletion would ever free it; a cancelled task is freed.

--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -208,6 +208,10 @@
   commands: { inFlight: false, nextAt: NEVER },
 });
 
+/** Whether everything is to leave the machine, which goes back to the cloud: nothing is started there any more. */
+export const isBeingEmptied = ({ lifecycle }: Machine): boolean =>
+  lifecycle.reclaimAt !== null || lifecycle.drainReason === "scale-in";
+
 /** Keeps the sums over a machine's tasks when one comes (1) or goes (-1); walking all tasks each time was dear. */
 export const addTaskUsage = (machine: Machine, spec: JobSpec, sign: 1 | -1): void => {
   const {
--- a/src/cluster/task.ts
+++ b/src/cluster/task.ts
@@ -89,6 +89,13 @@
   startCommand.kind === "sending" ||
   (unansweredStartAt !== null && (startCommand.kind !== "observed" || now - unansweredStartAt < MAX_START_DELAY));
 
+/**
+ * Whether a task that does not run on its machine may be released, so that it can be placed elsewhere and its resources
+ * count as free. If not, only the machine's deletion frees it, or its end there once it has been started again. Nothing
+ * starts a cancelled task elsewhere.
+ */
+export const mayRelease = (task: Task, now: Micros): boolean => task.job.cancelled || !mayStartLate(task, now);
+
 /** Reported on its machine, and not exited there. */
 export const isActive = (task: Task): boolean =>
   task.machine !== null && task.state !== null && task.state !== "exited";
--- a/src/coordination/autoscaling/scale-in.ts
+++ b/src/coordination/autoscaling/scale-in.ts
@@ -2,8 +2,9 @@
  * Chooses machines that are to be returned to the cloud.
  * @module
  */
-import type { Machine } from "../../cluster/machine.js";
-import { seconds } from "../../transport/clock.js";
+import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
+import { mayRelease } from "../../cluster/task.js";
+import { type Micros, seconds } from "../../transport/clock.js";
 import type { SchedulerSnapshot } from "../scheduling/scheduler-snapshot.js";
 import type { CapacityBin } from "./capacity-bins.js";
 
@@ -31,6 +32,13 @@
   return machines;
 };
 
+/** Nothing runs on the machine, and what is placed there is only free with its deletion. */
+const holdsTasksOnly = (machine: Machine, now: Micros): boolean => {
+  if (!isBeingEmptied(machine)) return false;
+  for (const task of machine.tasks) if (task.startCommand.kind !== "none" || mayRelease(task, now)) return false;
+  return true;
+};
+
 /** Why an empty machine may be returned; `idle`: unless the plan uses it. Null: it stays. */
 const reasonToReturn = ({ now, options }: SchedulerSnapshot, machine: Machine): ScaleInReason | null => {
   const { lifecycle, state, type, load } = machine;
@@ -44,19 +52,20 @@
       return age > MIN_CHARGED_TIME ? "boot failed" : null;
     default: {
       if (type === null) return "unknown type";
-      if (lifecycle.drainReason !== null) return "drained";
+      if (lifecycle.drainReason !== null || machine.tasks.size > 0) return "drained";
       const isIdle = now - load.idleSince > seconds(options.idleReturnS) && age > MIN_CHARGED_TIME;
       return isIdle && lifecycle.reclaimAt === null ? "idle" : null;
     }
   }
 };
 
-/** Machines without tasks that failed to boot, are drained, or are idle and not used by the plan's bins. */
+/** Machines without tasks, or with none that can run or leave, that failed to boot, are drained, or are idle and not used by the plan's bins. */
 export const chooseScaleIn = (snapshot: SchedulerSnapshot, bins: readonly CapacityBin[]): readonly ScaleInChoice[] => {
   const inUse = emptyMachinesInUse(bins);
   const choices: ScaleInChoice[] = [];
   for (const machine of snapshot.shard.machines.values()) {
-    if (machine.lifecycle.deleting || machine.tasks.size > 0) continue;
+    if (machine.lifecycle.deleting) continue;
+    if (machine.tasks.size > 0 && !holdsTasksOnly(machine, snapshot.now)) continue;
     const reason = reasonToReturn(snapshot, machine);
     if (reason === null || (reason === "idle" && inUse.has(machine))) continue;
     choices.push({ machine, reason });
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -1,6 +1,6 @@
 /** Commands to workers: which are due, and what becomes of those that were sent. */
 
-import type { Machine } from "../../cluster/machine.js";
+import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
 import { attemptOf, isActive, isPlacementRecorded, type StartCommandState, type Task } from "../../cluster/task.js";
 import { formatJson, MalformedMessageError, parseJson, type Uint64 } from "../../protocol/json.js";
 import { type Command, decodeHeartbeat, encodeCommandRequest } from "../../protocol/worker.js";
@@ -156,15 +156,19 @@
 
   private startableTasks(machine: Machine): Task[] {
     const starts: Task[] = [];
-    if (!this.context.mayStartTasks(machine)) return starts;
-    for (const task of machine.tasks) {
-      const startable =
-        task.startCommand.kind === "none" || (task.startCommand.kind === "uncertain" && task.state === null);
-      if (startable && isPlacementRecorded(task) && !task.job.cancelled && task.stopRequest === null) starts.push(task);
-    }
+    if (!this.context.mayStartTasks(machine) || isBeingEmptied(machine)) return starts;
+    for (const task of machine.tasks) if (this.isStartable(task)) starts.push(task);
     return starts.slice(0, MAX_COMMANDS);
   }
 
+  private isStartable(task: Task): boolean {
+    const { startCommand, job } = task;
+    if (startCommand.kind !== "none" && (startCommand.kind !== "uncertain" || task.state !== null)) return false;
+    if (!isPlacementRecorded(task) || job.cancelled || task.stopRequest !== null) return false;
+    // A held task counts against its team's limit; with what else a new leader takes over, that may be exceeded.
+    return task.unansweredStartAt === null || this.context.shard.withinLimit(job.spec, 0);
+  }
+
   /**
    * Sends the machine its commands, unless a request to it is under way. `probe`: send even without commands, to learn
    * the worker's state under this leader's token.
@@ -317,10 +321,18 @@
   /** Stops tasks that cannot end well where they are. */
   evict(machine: Machine): void {
     for (const action of decideEvictions(machine, this.context.clock.now())) {
-      if (action.kind === "release") this.heartbeats.taskGone(action.task);
-      else action.task.stopRequest = { graceS: action.graceS };
+      switch (action.kind) {
+        case "release":
+          this.heartbeats.taskGone(action.task);
+          break;
+        case "keep":
+          action.task.stopRequest = null;
+          this.context.scheduleCommands(machine);
+          break;
+        case "stop":
+          action.task.stopRequest = { graceS: action.graceS };
+      }
     }
-    const leaving = machine.lifecycle.reclaimAt !== null || machine.lifecycle.drainReason === "scale-in";
-    if (leaving && this.repeatableCommands(machine).length > 0) this.context.scheduleCommands(machine);
+    if (isBeingEmptied(machine) && this.repeatableCommands(machine).length > 0) this.context.scheduleCommands(machine);
   }
 }
--- a/src/coordination/workers/heartbeat-processor.ts
+++ b/src/coordination/workers/heartbeat-processor.ts
@@ -2,7 +2,7 @@
 
 import { eventFieldsOf } from "../../cluster/events.js";
 import type { Machine } from "../../cluster/machine.js";
-import { mayStartLate, type Task } from "../../cluster/task.js";
+import { mayRelease, mayStartLate, type Task } from "../../cluster/task.js";
 import type { Uint64 } from "../../protocol/json.js";
 import type { Heartbeat } from "../../protocol/worker.js";
 import { type Micros, seconds } from "../../transport/clock.js";
@@ -200,7 +200,7 @@
       tasks: startedTasks.length,
     });
     for (const task of startedTasks) {
-      if (!mayStartLate(task, this.context.clock.now()) || task.job.cancelled) this.taskExits.taskGone(task);
+      if (mayRelease(task, this.context.clock.now())) this.taskExits.taskGone(task);
       else this.resetToUnstarted(task);
     }
     clearReportedTasks(machine);
--- a/src/coordination/workers/task-list-reconciliation.ts
+++ b/src/coordination/workers/task-list-reconciliation.ts
@@ -1,7 +1,7 @@
 /** Reconciliation of a worker's list of tasks with the tasks that are placed on its machine. */
 
-import type { Machine } from "../../cluster/machine.js";
-import { attemptOf, mayStartLate, type Task } from "../../cluster/task.js";
+import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
+import { attemptOf, mayRelease, mayStartLate, type Task } from "../../cluster/task.js";
 import type { Uint64 } from "../../protocol/json.js";
 import type { Heartbeat, TaskStatus } from "../../protocol/worker.js";
 import type { ShardContext } from "../context.js";
@@ -116,8 +116,8 @@
         // Only a worker past the token under which the start was sent can no longer get it.
         if (token <= task.startCommand.token) return;
         task.startCommand = { kind: "none" };
-        if (!this.mayStartAgain(machine, task)) this.taskExits.taskGone(task);
-        else this.context.scheduleCommands(machine);
+        if (this.mayStartAgain(machine, task)) this.context.scheduleCommands(machine);
+        else if (!this.isHeld(machine, task)) this.taskExits.taskGone(task);
         return;
       case "observed":
         // Within one life of a worker no attempt vanishes that it was not told to forget. So its counters were reset, and the
@@ -144,6 +144,15 @@
     );
   }
 
+  /**
+   * Whether a task that must not be started on its machine now stays there nevertheless, since a start may still be
+   * delivered. Where the zone rules keep it out that would be for ever: it is placed elsewhere a minute after the start.
+   */
+  private isHeld(machine: Machine, task: Task): boolean {
+    if (mayRelease(task, this.context.clock.now())) return false;
+    return isBeingEmptied(machine) || satisfiesZoneRules(task, machine);
+  }
+
   private reconcileListed(machine: Machine, task: Task, status: TaskStatus): void {
     const { clock, shard } = this.context;
     task.startCommand = { kind: "observed" };
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -387,7 +387,7 @@
       else if (this.acting) {
         for (const action of decideEvictions(machine, this.clock.now())) {
           if (action.kind === "release") this.observer.taskGone(action.task);
-          else action.task.stopRequest = { graceS: action.graceS };
+          else if (action.kind === "stop") action.task.stopRequest = { graceS: action.graceS };
         }
         if ([...machine.tasks].some(({ stopRequest }) => stopRequest !== null)) this.command(machine);
       }
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -10,6 +10,8 @@
 import { MAX_START_DELAY, mayStartLate, type Task } from "../src/cluster/task.js";
 import type { CloudClient } from "../src/coordination/autoscaling/cloud-client.js";
 import { type DeletionPriority, MachineDeletionQueue } from "../src/coordination/autoscaling/machine-deletion-queue.js";
+import { chooseScaleIn } from "../src/coordination/autoscaling/scale-in.js";
+import type { SchedulerSnapshot } from "../src/coordination/scheduling/scheduler-snapshot.js";
 import { CommandDispatcher } from "../src/coordination/workers/command-dispatcher.js";
 import { HeartbeatProcessor } from "../src/coordination/workers/heartbeat-processor.js";
 import { UnreachableMachineRemoval } from "../src/coordination/workers/unreachable-machine-removal.js";
@@ -168,3 +170,82 @@
   assert.equal(batches.flat().length, 250);
   assert.equal(batches[1]?.[0], "n-249");
 });
+
+type LostStart = Awaited<ReturnType<typeof lostStart>>;
+
+/** The worker shows a token above the start's, and does not list the task. */
+const showHigherToken = ({ machine, heartbeats }: LostStart): void => {
+  const reclaimNoticeS = machine.lifecycle.reclaimAt === null ? null : 20;
+  heartbeats.process(machine, report({ sequence: 2, token: TOKEN + 1, reclaimNoticeS }), HEARTBEAT);
+};
+
+const returnedMachines = ({ shard, context }: LostStart): readonly Machine[] => {
+  const snapshot = { shard, now: context.clock.now(), options: context.options } as unknown as SchedulerSnapshot;
+  return chooseScaleIn(snapshot, []).map(({ machine }) => machine);
+};
+
+// These three guard against a held task that was placed elsewhere a minute after its start, without the machine's deletion.
+for (const [name, empty] of [
+  ["for scale-in", ({ machine }) => Object.assign(machine.lifecycle, { drainReason: "scale-in" })],
+  [
+    "for its reclaim notice",
+    ({ machine, context }) => Object.assign(machine.lifecycle, { reclaimAt: context.clock.now() + 20_000_000 }),
+  ],
+] satisfies readonly [string, (scene: LostStart) => void][]) {
+  for (const order of ["before", "after"] as const) {
+    test(`a machine that is emptied ${name} ${order} its held task is found not running keeps the task until it is deleted`, async () => {
+      const scene = await lostStart();
+      const { machine, heartbeats, dispatcher, task } = scene;
+      if (order === "before") empty(scene);
+      showHigherToken(scene);
+      if (order === "after") empty(scene);
+      dispatcher.evict(machine);
+      isHeld(task, machine);
+      machine.reachability.consecutiveTimeouts = 2;
+      assert.deepEqual(dispatcher.startsForResponse(machine), [], "nothing more is started there");
+      assert.deepEqual(returnedMachines(scene), [machine], "nothing else would free the task");
+      heartbeats.machineLost(machine, "deleted");
+      assert.equal(task.machine, null);
+      assert.equal(task.earliestStart, 0);
+    });
+  }
+}
+
+test("a machine on which a task still runs is not returned for a held one beside it", async () => {
+  const scene = await lostStart();
+  const { machine, shard, task } = scene;
+  machine.lifecycle.drainReason = "scale-in";
+  showHigherToken(scene);
+  const other = [...task.job.waitingTasks][0] as Task;
+  shard.assignTask(other, machine);
+  other.startCommand = { kind: "observed" };
+  assert.deepEqual(returnedMachines(scene), []);
+});
+
+for (const order of ["before", "after"] as const) {
+  test(`a held task that was to be stopped ${order} it was found not running is started again on its machine`, async () => {
+    const scene = await lostStart();
+    const { machine, dispatcher, task } = scene;
+    if (order === "before") task.stopRequest = { graceS: 0 };
+    showHigherToken(scene);
+    if (order === "after") task.stopRequest = { graceS: 0 };
+    dispatcher.evict(machine);
+    isHeld(task, machine);
+    assert.equal(task.stopRequest, null);
+    machine.reachability.consecutiveTimeouts = 2;
+    assert.deepEqual(dispatcher.startsForResponse(machine), [{ op: "start", task: task.name, attempt: 1 }]);
+  });
+}
+
+test("a held task beyond its team's limit is counted on, and started again on its machine once there is room", async () => {
+  const scene = await lostStart();
+  const { machine, dispatcher, shard, task } = scene;
+  let withinLimit = false;
+  shard.withinLimit = () => withinLimit;
+  showHigherToken(scene);
+  isHeld(task, machine);
+  machine.reachability.consecutiveTimeouts = 2;
+  assert.deepEqual(dispatcher.startsForResponse(machine), []);
+  withinLimit = true;
+  assert.deepEqual(dispatcher.startsForResponse(machine), [{ op: "start", task: task.name, attempt: 1 }]);
+});
