whatif load: submissions are scheduled one after the other; help shows default times in seconds

What users saw: whatif load with 800 machines and a core ran out of memory at 4 GB.

Now each submission schedules the next one, and the help says 150s. The test fails before (out of memory). Results differ by a submission where one falls on the very moment at which all controllers end (300 machines: 64 and 63).

--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -1,4 +1,4 @@
-import { InvalidArgumentError } from "commander";
+import { InvalidArgumentError, Option } from "commander";
 
 /** One line for a person; `misuse` when the call itself was wrong. */
 export class CommandError extends Error {
@@ -28,6 +28,10 @@
   return Math.round(Number(number) * factor * 1_000_000);
 };
 
+/** An option that is a time; the help shows its default (in microseconds) in seconds, as it would be given. */
+export const durationOption = (flags: string, description: string, defaultUs: number): Option =>
+  new Option(flags, description).argParser(duration).default(defaultUs, `${defaultUs / 1_000_000}s`);
+
 export const wholeNumber = (text: string): number => {
   if (!/^\d{1,9}$/.test(text)) throw new InvalidArgumentError("not a whole number");
   return Number(text);
--- a/src/commands/whatif.ts
+++ b/src/commands/whatif.ts
@@ -1,5 +1,5 @@
 import { type Command, Option } from "commander";
-import { collect, duration, positiveNumber, wholeNumber } from "./cli.js";
+import { collect, duration, durationOption, positiveNumber, wholeNumber } from "./cli.js";
 import { compareVariants, runSweep } from "./whatif-compare.js";
 import type { GraphLoadFlags } from "./whatif-graphs.js";
 import { load } from "./whatif-load.js";
@@ -135,10 +135,10 @@
     .option("--graphs <n>", "graphs submitted at once", wholeNumber, 1)
     .option("--machines <n>", "machines of 16 CPUs", wholeNumber, 60)
     .option("--writes <n>", "changes a second that the state service takes", wholeNumber, 30)
-    .option("--run <time>", "a step's run time", duration, 1_000_000)
-    .option("--until <time>", "end after this time", duration, 3_600_000_000)
-    .option("--over <time>", "submit the graphs evenly over this time instead of at once", duration, 0)
-    .option("--end-all <time>", "end all controllers at once at this time; simulated only", duration, 0)
+    .addOption(durationOption("--run <time>", "a step's run time", 1_000_000))
+    .addOption(durationOption("--until <time>", "end after this time", 3_600_000_000))
+    .addOption(durationOption("--over <time>", "submit the graphs evenly over this time instead of at once", 0))
+    .addOption(durationOption("--end-all <time>", "end all controllers at once at this time; simulated only", 0))
     .option("--seed <n>", "luck of delays", wholeNumber, 1)
     .option("--loopback", "real controllers on loopback instead of simulated ones")
     .option("--port <n>", "first port for that", wholeNumber, 7_600)
@@ -153,11 +153,11 @@
     .option("--core <share>", "share of a core that a controller has", positiveNumber, 0.3)
     .option("--memory <mb>", "its memory", wholeNumber, 200)
     .option("--sockets <n>", "its connections", wholeNumber, 2_000)
-    .option("--report <time>", "workers report so often", duration, 5_000_000)
-    .option("--lease <time>", "workers' lease", duration, 30_000_000)
+    .addOption(durationOption("--report <time>", "workers report so often", 5_000_000))
+    .addOption(durationOption("--lease <time>", "workers' lease", 30_000_000))
     .option("--writes <n>", "changes a second of the state service", wholeNumber, 30)
-    .option("--until <time>", "end of each run", duration, 150_000_000)
-    .option("--end-all <time>", "when all controllers end at once; 0: never", duration, 90_000_000)
+    .addOption(durationOption("--until <time>", "end of each run", 150_000_000))
+    .addOption(durationOption("--end-all <time>", "when all controllers end at once; 0: never", 90_000_000))
     .option("--unbounded", "without taking turns with connections and without shedding load, as before")
     .option("--both", "each size without and with")
     .option("--seed <n>", "luck", wholeNumber, 1)
--- a/src/whatif/load.ts
+++ b/src/whatif/load.ts
@@ -147,14 +147,18 @@
   const slots = (spec.machines * CPUS) / TASK_CPUS;
   const first = Math.round((slots * FILLED) / SHARDS);
   const perUs = first / (RUN_S * S);
-  let next = 0;
-  const array = (at: number): void => {
-    const ref = `wk-${next}`;
-    next += 1;
-    site.world.at(at, () => site.submit({ ...plain, ref }));
+  const submitArray = (number: number): void => site.submit({ ...plain, ref: `wk-${number}` });
+  for (let number = 0; number < first; number += 1)
+    site.world.at(2 * S + (number / perUs) * 0.6, () => submitArray(number));
+  // One after the other: what a long run submits in all would not fit into memory.
+  const submitFrom = (at: number, number: number): void => {
+    if (at >= spec.untilUs) return;
+    site.world.at(at, () => {
+      submitFrom(at + 1 / perUs, number + 1);
+      submitArray(number);
+    });
   };
-  for (let at = 0; at < first; at += 1) array(2 * S + (at / perUs) * 0.6);
-  for (let at = 30 * S; at < spec.untilUs; at += 1 / perUs) array(at);
+  submitFrom(30 * S, first);
   const pages = Math.ceil((spec.machines * PAGES.share) / PAGES.shards);
   for (let at = 0; at < pages; at += 1) {
     const page = {
--- a/test/load-shedding.test.ts
+++ b/test/load-shedding.test.ts
@@ -243,3 +243,24 @@
   };
   assert.deepEqual(await playLoad(spec), await playLoad(spec));
 });
+
+test("a load of many years is played from its beginning without holding all that it is going to submit", async () => {
+  const spec = {
+    machines: 1_600,
+    bounded: true,
+    controller: { cpuShare: 1, memoryMb: 200, connections: 2_000 },
+    reportUs: 5_000_000,
+    leaseUs: 30_000_000,
+    writesPerS: 30,
+    endAllAtUs: null,
+    untilUs: 1_000_000_000 * 1_000_000,
+    seed: 1,
+  };
+  let reached = 0;
+  const play = playLoad(spec, (now) => {
+    reached = now;
+    throw new Error("seen enough");
+  });
+  await assert.rejects(play, /seen enough/);
+  assert.equal(reached, 500_000);
+});
