A controller starts without the schema compiler and the histogram library

Cause: a profile of the start (mesh on, options file given) had 117 ms in ajv, which compiled the schema of eight options, and 52 ms in hdr-histogram-js, which stats.ts loads 20 s after the start but the mesh loaded at once.

The options are checked by an interpreter of the same schema (@cfworker/json-schema, 10 ms with its loading); only a file that it refuses brings ajv, which names the fault as before. A test holds both against each other. The two users of histograms share one module that loads the library after the first rush.

Until the library is there relayed calls have 0 as percentiles in the log.

--- a/src/mesh/relay-statistics.ts
+++ b/src/mesh/relay-statistics.ts
@@ -1,6 +1,6 @@
 /** Counts of relayed calls, for a line in the log every half minute. */
-import hdr from "hdr-histogram-js";
 import { type Clock, type Micros, seconds } from "../transport/clock.js";
+import { type LatencyHistogram, LatencyHistograms } from "../transport/latency-histogram.js";
 import type { Log } from "../transport/log.js";
 import { LogEvent } from "./log-events.js";
 
@@ -24,10 +24,9 @@
 /** Counts since the last line, and the durations of calls that peers relayed. */
 export class RelayStatistics {
   private counts = zeroCounts();
-  private readonly durationsMs = hdr.build({
-    highestTrackableValue: MAX_DURATION_MS,
-    numberOfSignificantValueDigits: 2,
-  });
+  private readonly histograms: LatencyHistograms;
+  /** Null until the first call is recorded. */
+  private durationsMs: LatencyHistogram | null = null;
   private summarizedAt: Micros;
 
   constructor(
@@ -35,13 +34,15 @@
     private readonly log: Log,
   ) {
     this.summarizedAt = clock.now();
+    this.histograms = new LatencyHistograms(clock, log);
   }
 
   /** A peer has relayed a call for this controller in `duration`. */
   recordCall(duration: Micros, answered: boolean): void {
     this.counts.relayedCalls += 1;
     if (!answered) this.counts.failedCalls += 1;
-    this.durationsMs.recordValue(Math.min(MAX_DURATION_MS, Math.ceil(duration / MICROS_PER_MILLISECOND)));
+    this.durationsMs ??= this.histograms.create(MAX_DURATION_MS);
+    this.durationsMs?.record(duration / MICROS_PER_MILLISECOND);
   }
 
   /** A worker's heartbeat was forwarded to the shard's leader. */
@@ -65,7 +66,7 @@
     this.summarizedAt = now;
     if (this.isActive()) this.log.info(LogEvent.MeshSummarized, { ...this.counts, ...this.percentiles() });
     this.counts = zeroCounts();
-    this.durationsMs.reset();
+    this.durationsMs?.reset();
   }
 
   private isActive(): boolean {
@@ -75,8 +76,8 @@
 
   private percentiles(): { readonly callP50Ms: number; readonly callP99Ms: number } {
     return {
-      callP50Ms: this.durationsMs.getValueAtPercentile(50),
-      callP99Ms: this.durationsMs.getValueAtPercentile(99),
+      callP50Ms: this.durationsMs?.percentile(50) ?? 0,
+      callP99Ms: this.durationsMs?.percentile(99) ?? 0,
     };
   }
 }
--- a/src/settings/options.ts
+++ b/src/settings/options.ts
@@ -1,5 +1,6 @@
 /** The operators' options: types, defaults, schema and loading. The names are those of the options file. */
 import { readFileSync } from "node:fs";
+import type { Schema } from "@cfworker/json-schema";
 import { SettingsError } from "./errors.js";
 import { type GraphOptions, graphOptionsSchema, readGraphOptions } from "./graph-options.js";
 
@@ -90,8 +91,17 @@
   }
 };
 
+/** Interprets the schema: that takes a tenth of the time of compiling it, and a start must be quick. */
+const matchesSchema = async (value: unknown): Promise<boolean> => {
+  const { Validator } = await import("@cfworker/json-schema");
+  // Its type has mutable lists, which it doesn't change.
+  const schema: object = optionsSchema;
+  return new Validator(schema as Schema, "7").validate(value).valid;
+};
+
 const checkOptions = async (file: string, value: unknown): Promise<Partial<OperatorOptions>> => {
-  // The schema compiler is only loaded where there is a file to check: a start must be quick.
+  if (await matchesSchema(value)) return value as Partial<OperatorOptions>;
+  // Names the fault: whoever has to read it can wait.
   const { Ajv } = await import("ajv");
   const validate = new Ajv().compile<Partial<OperatorOptions>>(optionsSchema);
   if (validate(value)) return value;
--- a/src/stats.ts
+++ b/src/stats.ts
@@ -1,11 +1,10 @@
-import type { Histogram } from "hdr-histogram-js";
+/** Counts of requests by kind and status, with their latencies, for the log. */
 import { type Clock, seconds } from "./transport/clock.js";
 import type { HttpHandler, HttpRequest } from "./transport/http.js";
+import { type LatencyHistogram, LatencyHistograms } from "./transport/latency-histogram.js";
 import type { Log } from "./transport/log.js";
 
 const PERIOD = seconds(60);
-/** A start must be quick, so the library is only loaded when the first rush is over. */
-const LOAD_AFTER = seconds(20);
 const HIGHEST_US = 60_000_000;
 
 const kindOf = (request: HttpRequest): string => {
@@ -17,26 +16,18 @@
 
 /** Counts requests by kind and status, and logs them with their latencies every minute. */
 export const countRequests = (clock: Clock, log: Log, handler: HttpHandler): HttpHandler => {
-  const histograms = new Map<string, Histogram>();
+  const factory = new LatencyHistograms(clock, log);
+  const histograms = new Map<string, LatencyHistogram>();
   const statuses = new Map<string, number>();
-  let build: (() => Histogram) | null = null;
-  clock.after(LOAD_AFTER, () => {
-    import("hdr-histogram-js").then(
-      (library) => {
-        build = () => library.default.build({ highestTrackableValue: HIGHEST_US, numberOfSignificantValueDigits: 2 });
-      },
-      (error: unknown) => log.error("no histograms", { error: String(error) }),
-    );
-  });
   const report = (): void => {
     const latencyUs = Object.fromEntries(
       [...histograms].map(([kind, histogram]) => [
         kind,
         {
-          count: histogram.totalCount,
-          p50: histogram.getValueAtPercentile(50),
-          p99: histogram.getValueAtPercentile(99),
-          max: histogram.maxValue,
+          count: histogram.count,
+          p50: histogram.percentile(50),
+          p99: histogram.percentile(99),
+          max: histogram.max,
         },
       ]),
     );
@@ -52,10 +43,10 @@
     const kind = kindOf(request);
     const key = `${kind} ${response.status}`;
     statuses.set(key, (statuses.get(key) ?? 0) + 1);
-    if (build === null) return response;
-    const histogram = histograms.get(kind) ?? build();
+    const histogram = histograms.get(kind) ?? factory.create(HIGHEST_US);
+    if (histogram === null) return response;
     histograms.set(kind, histogram);
-    histogram.recordValue(Math.min(HIGHEST_US, Math.max(1, clock.now() - started)));
+    histogram.record(clock.now() - started);
     return response;
   };
 };
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -3,9 +3,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
+import { Ajv } from "ajv";
 import { cancellationTerms } from "../src/settings/cancellation.js";
 import { SettingsError } from "../src/settings/errors.js";
-import { DEFAULT_OPTIONS, loadOptions } from "../src/settings/options.js";
+import { DEFAULT_OPTIONS, loadOptions, optionsSchema } from "../src/settings/options.js";
 import { loadSettings, parseSettings } from "../src/settings/parse-settings.js";
 import { shardLeaseDuration } from "../src/settings/shard-lease.js";
 import { settingsText } from "./fixtures.js";
@@ -85,6 +86,52 @@
   }
 });
 
+test("the interpreted schema of the options accepts and refuses as the compiled one does", async () => {
+  const file = join(mkdtempSync(join(tmpdir(), "rainridge-")), "options.json");
+  const compiled = new Ajv().compile(optionsSchema);
+  const record = { folder: "traces", fileMb: 1, files: 2 };
+  const values: readonly unknown[] = [
+    ...[
+      {},
+      { kappa: 1 },
+      { roundMs: 10 },
+      { mesh: true },
+      { record: null },
+      { record },
+      { graphs: null },
+      { graphs: {} },
+    ],
+    ...[
+      null,
+      1,
+      "text",
+      [],
+      { kappa: 0 },
+      { kappa: "1" },
+      { roundMs: 10.5 },
+      { roundMs: 9 },
+      { mesh: 1 },
+      { idleReturnS: -1 },
+    ],
+    ...[
+      { headroom: 21 },
+      { silentReports: 1 },
+      { other: 1 },
+      { record: { ...record, files: 0 } },
+      { record: { folder: "" } },
+    ],
+    ...[{ record: { ...record, other: 1 } }, { graphs: 1 }, { graphs: { mostRuns: -1 } }, { graphs: { other: 1 } }],
+  ];
+  for (const value of values) {
+    writeFileSync(file, JSON.stringify(value));
+    const accepted = await loadOptions(file).then(
+      () => true,
+      () => false,
+    );
+    assert.equal(accepted, compiled(value), JSON.stringify(value));
+  }
+});
+
 test("an error of settings has a code and keeps its cause", async () => {
   const missing = join(mkdtempSync(join(tmpdir(), "rainridge-")), "missing");
   const hasCause = (error: unknown): boolean =>
