--- a/src/commands/serving.ts
+++ b/src/commands/serving.ts
@@ -7,6 +7,7 @@
 import type { ProcessLoad } from "../coordination/overload/load-shedder.js";
 import { allocateConnections } from "../settings/connections.js";
 import { SettingsError } from "../settings/errors.js";
+import { maxHeapMb, oldGenerationMb } from "../settings/memory-budget.js";
 import { loadOptions } from "../settings/options.js";
 import { loadSettings } from "../settings/parse-settings.js";
 import { countRequests } from "../stats.js";
@@ -81,6 +82,13 @@
   };
 };
 
+/** Says where the process may be ended for its memory before its heap has come to its limit. */
+const checkHeapLimit = ({ quota }: Loaded["settings"], log: Log): void => {
+  const heapMb = oldGenerationMb(getHeapStatistics().heap_size_limit);
+  const mostMb = maxHeapMb(quota);
+  if (heapMb > mostMb) log.info("heap limit too high", { heapMb, mostMb, memoryMb: quota.memoryMb });
+};
+
 /** Connections to the siblings, loaded only where they are switched on. */
 const meshOf = async (
   settings: Loaded["settings"],
@@ -132,6 +140,7 @@
     const code = (error as NodeJS.ErrnoException).code ?? "failed";
     throw new CommandError(`client_listen: ${settings.clientListen}: ${code}`, true);
   }
+  checkHeapLimit(settings, log);
   log.info("serving", { listen: settings.clientListen, incarnation });
   controller.start();
 };
