--- a/src/coordination/workers/answered-starts.ts
+++ b/src/coordination/workers/answered-starts.ts
@@ -43,8 +43,8 @@
 export class AnsweredStarts {
   /** What the leader before left on record; null: nothing that is to be believed. */
   private readonly inherited: Claims | null;
-  /** What was last built; null: nothing is known. */
-  private claims: Claims | null;
+  /** The machines that it excepts, for a lookup by each placed task of the shard. */
+  private readonly inheritedExceptions: ReadonlySet<string>;
   /** What this leader has on record; null: nothing. */
   private recordedClaims: Claims | null = null;
   private version: Uint64;
@@ -61,7 +61,7 @@
     this.version = entry?.version ?? 0;
     const record = entry === undefined ? null : decodeAnsweredStarts(entry.value);
     this.inherited = record !== null && record.epoch === lease.epoch - 1 ? record : null;
-    this.claims = this.inherited;
+    this.inheritedExceptions = new Set(this.inherited?.unansweredMachines);
   }
 
   private get key(): string {
@@ -71,7 +71,7 @@
   /** Whether it is on record that every start was answered of a placement in a range record of this version. */
   wasAnswered(version: Uint64, machine: string): boolean {
     if (this.inherited === null) return false;
-    return version <= this.inherited.revision && !this.inherited.unansweredMachines.includes(machine);
+    return version <= this.inherited.revision && !this.inheritedExceptions.has(machine);
   }
 
   /** Writes the record where it has changed; called again and again. */
@@ -81,15 +81,7 @@
     const revision = cache.currentRevision;
     if (this.writing || now < this.nextWriteAt || revision === null) return;
     this.nextWriteAt = (now + WRITE_INTERVAL) as Micros;
-    const machines = this.unansweredMachines(now);
-    // Nothing was placed since this leader's last write but what waits to be on record.
-    const isRevisionNew = this.recordedClaims === null || revision > this.version;
-    if (machines !== null)
-      this.claims = {
-        revision: isRevisionNew ? revision : (this.recordedClaims?.revision ?? revision),
-        unansweredMachines: machines,
-      };
-    const { claims } = this;
+    const claims = this.buildClaims(revision, now);
     if (claims === null || (this.recordedClaims !== null && isSameClaims(claims, this.recordedClaims))) return;
     this.writing = true;
     void this.guard(this.write(claims)).then(() => {
@@ -97,6 +89,16 @@
     });
   }
 
+  /** What can be said now; with too many machines to be named, what was said before. Null: nothing. */
+  private buildClaims(revision: Uint64, now: Micros): Claims | null {
+    const { recordedClaims } = this;
+    const unansweredMachines = this.unansweredMachines(now);
+    if (unansweredMachines === null) return recordedClaims ?? this.inherited;
+    // Up to this leader's own last write, nothing is on record that it did not know of then.
+    const isUnchanged = recordedClaims !== null && revision <= this.version;
+    return { revision: isUnchanged ? recordedClaims.revision : revision, unansweredMachines };
+  }
+
   /** The machines of tasks that do not count as answered, in order of their names; null: too many to be named. */
   private unansweredMachines(now: Micros): readonly string[] | null {
     const { unconfirmedStarts } = this.shard;
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -107,7 +107,7 @@
    */
   startsForResponse(machine: Machine): Command[] {
     if (!this.isTrusted(machine)) return [];
-    const tasks = this.startableTasks(machine).filter((task) => !this.startsDirectly(machine, task));
+    const tasks = this.startableTasks(machine, "response");
     if (tasks.length === 0) return [];
     const token = responseTokenOf(this.context.lease, machine);
     machine.fencing.startSequence = machine.fencing.sequence;
@@ -140,11 +140,6 @@
     return ranges[Math.floor(index / size)]?.tasks[index % size] ?? null;
   }
 
-  /** What is to be started by a direct command. */
-  private tasksToStart(machine: Machine): Task[] {
-    return this.startableTasks(machine).filter((task) => this.startsDirectly(machine, task));
-  }
-
   /**
    * Whether a direct command starts the task: not where it is on record that its starts were answered, nor where it is bound
    * to the machine by a start that is still on its way and commands do not arrive.
@@ -154,11 +149,15 @@
     return task.unansweredStartAt === null || commandsArrive(reachability);
   }
 
-  private startableTasks(machine: Machine): Task[] {
+  /** What is to be started, by a direct command or by the response to a heartbeat. */
+  private startableTasks(machine: Machine, by: "command" | "response"): Task[] {
     const starts: Task[] = [];
     if (!this.context.mayStartTasks(machine) || isBeingEmptied(machine)) return starts;
-    for (const task of machine.tasks) if (this.isStartable(task)) starts.push(task);
-    return starts.slice(0, MAX_COMMANDS);
+    for (const task of machine.tasks) {
+      if (starts.length >= MAX_COMMANDS) break;
+      if (this.isStartable(task) && this.startsDirectly(machine, task) === (by === "command")) starts.push(task);
+    }
+    return starts;
   }
 
   private isStartable(task: Task): boolean {
@@ -206,7 +205,7 @@
     const { address, counters } = machine;
     const { incarnation } = counters;
     if (address === null || incarnation === null || !this.maySend(machine, probe)) return null;
-    const tasks = this.isTrusted(machine) ? this.tasksToStart(machine) : [];
+    const tasks = this.isTrusted(machine) ? this.startableTasks(machine, "command") : [];
     const repeatable = this.repeatableCommands(machine);
     if (tasks.length === 0 && !probe && repeatable.length === 0) return null;
     const token = fencingTokenOf(this.context.lease, machine);
@@ -252,7 +251,7 @@
       this.markStartsUncertain(machine, request.token, pendingStarts);
     }
     machine.commands.nextAt = (accepted ? clock.now() : clock.now() + RETRY_DELAY) as Micros;
-    if (this.tasksToStart(machine).length > 0 || this.repeatableCommands(machine).length > 0) {
+    if (this.startableTasks(machine, "command").length > 0 || this.repeatableCommands(machine).length > 0) {
       this.context.scheduleCommands(machine);
     }
   }
--- a/src/model/fast-site.ts
+++ b/src/model/fast-site.ts
@@ -1,6 +1,6 @@
 import { DependencyGraph } from "../cluster/dependency-graph.js";
 import type { Job } from "../cluster/job.js";
-import { createMachine, type Machine } from "../cluster/machine.js";
+import { createMachine, isBeingEmptied, type Machine } from "../cluster/machine.js";
 import { ShardState } from "../cluster/shard-state.js";
 import { attemptOf, isActive, isPlacementRecorded, type TaskRange } from "../cluster/task.js";
 import { CapacityBackoff } from "../coordination/autoscaling/capacity-backoff.js";
@@ -381,8 +381,7 @@
   private tick(): void {
     this.ticking = false;
     for (const machine of this.leaving) {
-      const leaves = machine.lifecycle.reclaimAt !== null || machine.lifecycle.drainReason === "scale-in";
-      const stops = leaves || [...machine.tasks].some(({ stopRequest }) => stopRequest !== null);
+      const stops = isBeingEmptied(machine) || [...machine.tasks].some(({ stopRequest }) => stopRequest !== null);
       if (!stops || !this.block.machines.has(machine.name)) this.leaving.delete(machine);
       else if (this.acting) {
         for (const action of decideEvictions(machine, this.clock.now())) {
--- a/src/storage/answered-starts-record.ts
+++ b/src/storage/answered-starts-record.ts
@@ -2,15 +2,7 @@
  * Record of the start commands that were answered, kept across a change of the shard's leader.
  * @module
  */
-import {
-  asArray,
-  asObject,
-  type JsonObject,
-  MalformedMessageError,
-  readNonNegative,
-  readUint64,
-  type Uint64,
-} from "../protocol/json.js";
+import { asObject, type JsonObject, readNames, readNonNegative, readUint64, type Uint64 } from "../protocol/json.js";
 import { RecordCodec } from "../protocol/record-codec.js";
 
 /** Which of a shard's placed tasks have no start command without a response, as far as their leader knows. */
@@ -29,11 +21,6 @@
   unansweredMachines: "machines",
 });
 
-const readMachine = (value: unknown): string => {
-  if (typeof value !== "string") throw new MalformedMessageError("machines");
-  return value;
-};
-
 /** The stored form of the answered starts. */
 export const encodeAnsweredStarts = (record: AnsweredStartsRecord): JsonObject => answeredStartsCodec.encode(record);
 
@@ -43,6 +30,6 @@
   return {
     epoch: readNonNegative(fields, "number"),
     revision: readUint64(fields, "upTo"),
-    unansweredMachines: asArray(fields.machines, "machines").map(readMachine),
+    unansweredMachines: readNames(fields, "machines"),
   };
 };
