Emulator: a worker reports a higher token once per half of its lease, and what changed during a report

PROTOCOL: a higher token counts as a change no more than once per half of lease_s, and a single report is in flight at a time. The emulated worker reported every higher token at once, and dropped what changed while its report was under way until its next regular one.

--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -40,6 +40,10 @@
   private inFlight = false;
   private lastReport = -S;
   private changeArmed = false;
+  /** Something has changed since the report under way was written. */
+  private changedInFlight = false;
+  /** When a higher token last counted as a change. */
+  private tokenReportedAt = Number.NEGATIVE_INFINITY;
   private noticeAt: number | null = null;
   private gone = false;
   /** Answers to calls from before a restart find nobody. */
@@ -97,6 +101,7 @@
     if (!kept) {
       this.tick = 0;
       this.token = 0;
+      this.tokenReportedAt = Number.NEGATIVE_INFINITY;
     }
     this.leaseBase = this.around.timeline.now;
     this.inFlight = false;
@@ -139,7 +144,8 @@
     timeline.at(Math.max(timeline.now + 1_000, this.lastReport + S / 2), () =>
       this.awake(() => {
         this.changeArmed = false;
-        this.report();
+        if (this.inFlight) this.changedInFlight = true;
+        else this.report();
       }),
     );
   }
@@ -169,6 +175,7 @@
     const { timeline, net, random, nodes, labels } = this.around;
     if (this.inFlight || this.gone) return;
     this.inFlight = true;
+    this.changedInFlight = false;
     this.lastReport = timeline.now;
     const sent = timeline.now;
     const session = this.session;
@@ -197,6 +204,7 @@
             }
             return;
           }
+          if (this.changedInFlight) this.changed();
           const { baton, orders } = JSON.parse(outcome.body) as { baton?: number; orders: Order[] };
           if (baton === undefined || baton < this.token || session !== this.session) return;
           this.see(baton);
@@ -212,8 +220,12 @@
   }
 
   private see(token: number): void {
-    if (token > this.token) this.changed();
-    this.token = Math.max(this.token, token);
+    const { timeline, times } = this.around;
+    if (token <= this.token) return;
+    this.token = token;
+    if (timeline.now - this.tokenReportedAt < times.leaseUs / 2) return;
+    this.tokenReportedAt = timeline.now;
+    this.changed();
   }
 
   private serve(request: HttpRequest): Promise<HttpResponse> {
