Tasks are started by responses to heartbeats only, never by direct commands

Cause: a direct command may be delivered in a later life of its worker, and nothing in the protocol tells lives apart. Why this works: a response is dropped after 4 s, and a new life has no call open. So that starts don't wait for the next heartbeat: responses wait for up to 3 s where a start is likely (long-polls.ts), and a raised token brings a heartbeat about, once per half of a lease. A worker that this leader hasn't responded to for half of its lease is never made to wait.

--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -69,6 +69,8 @@
 export interface WorkerLease {
   /** Latest moment at which a response may have renewed it. */
   renewedAt: Micros;
+  /** When this leader last responded to a heartbeat. */
+  respondedAt: Micros;
   expired: boolean;
 }
 
@@ -76,10 +78,8 @@
 export interface Fencing {
   /** Raised whenever a command may still be under way that must not take effect later. */
   sequence: number;
-  /** The sequence under which a start was last sent: under a higher one no start can arrive, again or late. */
-  startSequence: number;
-  /** When the sequence was last raised so that ended attempts may be forgotten. */
-  forgetSentAt: Micros;
+  /** When the worker was last sent, or showed, a higher token than before. */
+  tokenRaisedAt: Micros;
 }
 
 /** What the machine's tasks take up, kept as sums. */
@@ -187,8 +187,8 @@
     lastHeartbeatAt: now,
     probedAt: NEVER,
   },
-  lease: { renewedAt: now, expired: false },
-  fencing: { sequence: 0, startSequence: 0, forgetSentAt: NEVER },
+  lease: { renewedAt: now, respondedAt: NEVER, expired: false },
+  fencing: { sequence: 0, tokenRaisedAt: NEVER },
   load: {
     used: { cpu: 0, gpu: 0, ram: 0 },
     replicas: 0,
--- a/src/cluster/shard-state.ts
+++ b/src/cluster/shard-state.ts
@@ -26,10 +26,12 @@
   /** Names of machines deleted by this leader: the cloud's lists go on naming them for a while. */
   readonly deletedMachines = new Set<string>();
   /**
-   * Placed tasks of which it is not on record that every start was answered. Only these may be sent direct commands that
-   * start them (coordination/workers/answered-starts.ts).
+   * Tasks placed by earlier leaders of which it is not on record that every direct start command was answered
+   * (coordination/workers/answered-starts.ts).
    */
   readonly unconfirmedStarts = new Set<Task>();
+  /** The last placement round left tasks waiting. */
+  backlog = false;
   /** Size of the largest task range record in bytes; follows what the state service takes. */
   maxRecordBytes = Number.POSITIVE_INFINITY;
   private readonly quota: QuotaUsage;
@@ -98,6 +100,7 @@
       if (record.kind !== "placed") continue;
       this.assignTask(task, this.machineByName(record.machine));
       task.startCommand = { kind: "uncertain", token: lostBelow };
+      this.unconfirmedStarts.add(task);
     }
     return range;
   }
@@ -162,7 +165,6 @@
   /** Counts the task as being on the machine. */
   assignTask(task: Task, machine: Machine): void {
     task.machine = machine;
-    this.unconfirmedStarts.add(task);
     machine.tasks.add(task);
     addTaskUsage(machine, task.job.spec, 1);
     task.job.placedTasks.add(task);
--- a/src/cluster/task.ts
+++ b/src/cluster/task.ts
@@ -10,11 +10,11 @@
 
 /**
  * What is known of a start command.
- * `none`: none can arrive any more. `sending`: under way. `uncertain`: one sent under at most `token` may yet
- * arrive; `answered`: each that was sent had a response. `observed`: the worker has listed the attempt.
+ * `none`: none can arrive any more. `uncertain`: one sent under at most `token` may be carried out; `answered`: each direct
+ * command of an earlier leader had a response. `observed`: the worker has listed the attempt.
  */
 export type StartCommandState =
-  | { readonly kind: "none" | "sending" | "observed" }
+  | { readonly kind: "none" | "observed" }
   | { readonly kind: "uncertain"; readonly token: number; readonly answered?: boolean };
 
 /** One task of a job. Times are those of the leader's steady clock, in microseconds. */
@@ -31,8 +31,8 @@
   machine: Machine | null;
   startCommand: StartCommandState;
   /**
-   * When a start command was last sent to the machine without a response; null: none was. It may still be delivered, and a
-   * worker that has reset its counters meanwhile carries it out (docs/heartbeat-evidence.md).
+   * Since when a direct start command of an earlier leader counts as sent to the machine without a response; null: none was.
+   * It may still be delivered, and a worker that has reset its counters meanwhile carries it out (docs/heartbeat-evidence.md).
    */
   unansweredStartAt: Micros | null;
   /** The state that the worker last reported; null: none. */
@@ -84,10 +84,9 @@
  */
 export const MAX_START_DELAY = seconds(60);
 
-/** Whether a start command may still be on its way to the task's machine, whatever its worker has shown since. */
+/** Whether a direct start command may still be on its way to the task's machine, whatever its worker has shown since. */
 export const mayStartLate = ({ startCommand, unansweredStartAt }: Task, now: Micros): boolean =>
-  startCommand.kind === "sending" ||
-  (unansweredStartAt !== null && (startCommand.kind !== "observed" || now - unansweredStartAt < MAX_START_DELAY));
+  unansweredStartAt !== null && (startCommand.kind !== "observed" || now - unansweredStartAt < MAX_START_DELAY);
 
 /**
  * Whether a task that does not run on its machine may be released, so that it can be placed elsewhere and its resources
--- a/src/coordination/leadership/controller.ts
+++ b/src/coordination/leadership/controller.ts
@@ -146,7 +146,7 @@
   }
 
   /** `relayPeer`: the peer that the heartbeat came to; null: it came here. */
-  private handleHeartbeat(body: string, relayPeer: string | null): HttpResponse {
+  private async handleHeartbeat(body: string, relayPeer: string | null): Promise<HttpResponse> {
     let heartbeat: Heartbeat;
     try {
       heartbeat = decodeHeartbeatText(
@@ -169,7 +169,8 @@
     }
     if (relayPeer === null) this.mesh?.recordDirectHeartbeat(heartbeat.address);
     else this.mesh?.recordRelayedHeartbeat(heartbeat.address, relayPeer);
-    const reply = leader.handleHeartbeat(heartbeat);
+    // A peer that relays a heartbeat waits for less than a worker does.
+    const reply = await leader.handleHeartbeat(heartbeat, relayPeer === null);
     if (reply === null) return { status: 503, body: "{}" };
     return { status: 200, body: formatJson(encodeHeartbeatResponse(reply.token, reply.commands)) };
   }
--- a/src/coordination/leadership/heartbeat-responder.ts
+++ b/src/coordination/leadership/heartbeat-responder.ts
@@ -9,6 +9,7 @@
 import type { CommandDispatcher } from "../workers/command-dispatcher.js";
 import { type HeartbeatFreshness, type HeartbeatSource, mayBeOvertaken } from "../workers/heartbeat-freshness.js";
 import type { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
+import { type LongPolls, longPollTime } from "../workers/long-polls.js";
 import { isOneWay } from "../workers/reachability.js";
 import type { UnreachableZones } from "../workers/unreachable-zones.js";
 import type { LeaderState } from "./leader-state.js";
@@ -17,6 +18,7 @@
 const FROM_HEARTBEAT: HeartbeatSource = { kind: "heartbeat" };
 /** Whether a response has arrived at its worker is asked so long after it. */
 const PROBE_VERIFICATION_DELAY = seconds(1);
+const NO_WAIT = 0 as Micros;
 
 /** A response to a heartbeat: it renews the worker's lease. */
 export interface HeartbeatReply {
@@ -31,6 +33,7 @@
   readonly state: Readonly<LeaderState>;
   readonly heartbeats: HeartbeatProcessor;
   readonly commands: CommandDispatcher;
+  readonly longPolls: LongPolls;
   readonly unreachableZones: UnreachableZones;
   readonly machineTypes: ReadonlyMap<string, MachineType>;
 }
@@ -39,27 +42,58 @@
 export class HeartbeatResponder {
   constructor(private readonly dependencies: HeartbeatResponderDependencies) {}
 
-  /** The response to the heartbeat; null: nothing may be said in the shard's name. */
-  respond(heartbeat: Heartbeat): HeartbeatReply | null {
-    const { context, state, heartbeats } = this.dependencies;
-    const { shard, lease, clock } = context;
-    if (state.stopped || !lease.isValid() || shard.deletedMachines.has(heartbeat.machine)) return null;
+  /**
+   * The response to the heartbeat; null: nothing may be said in the shard's name. `mayWait`: the response may wait for a start
+   * (`longPollTime`).
+   */
+  async respond(heartbeat: Heartbeat, mayWait: boolean): Promise<HeartbeatReply | null> {
+    const { context, heartbeats } = this.dependencies;
+    if (!this.mayRespondTo(heartbeat)) return null;
     const machine = this.machineOf(heartbeat);
     if (this.isInUnreachableZone(machine)) return null;
     const overtaken = mayBeOvertaken(machine.counters, machine.lease.expired, heartbeat);
+    const tasksBefore = machine.tasks.size;
     const freshness = heartbeats.process(machine, heartbeat, FROM_HEARTBEAT);
     if (freshness === "suspect" && !overtaken) return null;
     const permitted = this.permittedFor(machine, freshness);
     this.scheduleSending(machine, permitted);
     if (!permitted.renew) return null;
-    machine.lease.renewedAt = clock.now();
+    if (mayWait && freshness === "fenced" && this.waitTimeOf(machine, machine.tasks.size < tasksBefore) > 0) {
+      await this.waitForStarts(machine, machine.tasks.size < tasksBefore);
+      if (!this.mayRespondTo(heartbeat) || !this.dependencies.unreachableZones.mayAnswer(machine.zone)) return null;
+    }
+    machine.lease.renewedAt = context.clock.now();
+    machine.lease.respondedAt = machine.lease.renewedAt;
     machine.lease.expired = false;
     if (machine.reachability.probeToken !== null) this.verifyProbe(machine);
-    // The commands first: giving them may raise the fencing sequence that the token shows.
     const responseCommands = this.commandsFor(machine, heartbeat, permitted);
     if (permitted.command && freshness === "fenced")
       responseCommands.push(...this.dependencies.commands.startsForResponse(machine));
-    return { token: responseTokenOf(lease, machine), commands: responseCommands };
+    return { token: responseTokenOf(context.lease, machine), commands: responseCommands };
+  }
+
+  private mayRespondTo(heartbeat: Heartbeat): boolean {
+    const { context, state } = this.dependencies;
+    return !state.stopped && context.lease.isValid() && !context.shard.deletedMachines.has(heartbeat.machine);
+  }
+
+  /** Waits for longer where a round has placed a task meanwhile that is not on record yet. */
+  private async waitForStarts(machine: Machine, freedRoom: boolean): Promise<void> {
+    const { context, longPolls } = this.dependencies;
+    const startedAt = context.clock.now();
+    const firstEnd = await longPolls.wait(machine, this.waitTimeOf(machine, freedRoom));
+    const timeLeft = this.waitTimeOf(machine, false) - (context.clock.now() - startedAt);
+    if (firstEnd === "time passed" && timeLeft > 0) await longPolls.wait(machine, timeLeft as Micros);
+  }
+
+  /** Under load timers are late, and a worker that had no response in time would try another controller. */
+  private waitTimeOf(machine: Machine, freedRoom: boolean): Micros {
+    const { context, commands } = this.dependencies;
+    if (context.loadShedder.atLeast("degraded") || commands.hasWaitingStarts(machine)) return NO_WAIT;
+    const now = context.clock.now();
+    // A worker whose lease may end soon, as after a failover, gets its response at once.
+    if (now - machine.lease.respondedAt > context.settings.workers.lease / 2) return NO_WAIT;
+    return longPollTime(machine, now, { freedRoom, backlog: context.shard.backlog });
   }
 
   /** While its zone is on record as unreachable a worker gets no response; its heartbeat is noted. */
--- a/src/coordination/leadership/shard-collaborators.ts
+++ b/src/coordination/leadership/shard-collaborators.ts
@@ -2,6 +2,7 @@
 import type { Machine } from "../../cluster/machine.js";
 import { ShardState } from "../../cluster/shard-state.js";
 import type { MachineType } from "../../protocol/cloud.js";
+import { allocateConnections } from "../../settings/connections.js";
 import type { Micros } from "../../transport/clock.js";
 import { Autoscaler } from "../autoscaling/autoscaler.js";
 import type { CloudClient } from "../autoscaling/cloud-client.js";
@@ -17,6 +18,7 @@
 import { ConcurrencyPools } from "../workers/concurrency-pools.js";
 import { FailureDetector } from "../workers/failure-detector.js";
 import { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
+import { LongPolls } from "../workers/long-polls.js";
 import { StatusQueryQueue } from "../workers/status-query-queue.js";
 import { UnreachableZones } from "../workers/unreachable-zones.js";
 import { createFailureGuard, type FailureGuard } from "./failure-guard.js";
@@ -66,6 +68,7 @@
   readonly dependencyTracker: DependencyTracker;
   readonly roundTimer: RoundTimer;
   readonly heartbeatResponder: HeartbeatResponder;
+  readonly longPolls: LongPolls;
   readonly checks: LeaderChecks;
 }
 
@@ -87,7 +90,9 @@
   const context = createContext(options, state, () => targets);
   const taskStates = new TaskStateWriter(context);
   const heartbeats = new HeartbeatProcessor(context, taskStates);
-  const commands = new CommandDispatcher(context, heartbeats);
+  const { waiting } = allocateConnections(services.settings.quota.maxConnections);
+  const longPolls = new LongPolls(services.clock, waiting);
+  const commands = new CommandDispatcher(context, heartbeats, longPolls);
   const scheduler = new Scheduler(context, taskStates);
   const autoscaler = new Autoscaler(context, cloud, scheduler, heartbeats);
   const commandPools = createCommandPools(context, commands, state, guard);
@@ -126,9 +131,9 @@
   const machineTypeRefresher = new MachineTypeRefresher({ context, cloud, machineTypes, guard });
   const checked = { failureDetector, commands, machineTypeRefresher, backpressure, scheduler, heartbeats, taskStates };
   const checks = new LeaderChecks({ context, answeredStarts, ...checked });
-  const responding = { heartbeats, commands, unreachableZones, machineTypes };
+  const responding = { heartbeats, commands, longPolls, unreachableZones, machineTypes };
   const heartbeatResponder = new HeartbeatResponder({ context, state, ...responding });
-  const entryPoints = { jobWatcher, dependencyTracker, roundTimer, heartbeatResponder, checks };
+  const entryPoints = { jobWatcher, dependencyTracker, roundTimer, heartbeatResponder, longPolls, checks };
   return { context, scheduler, autoscaler, failureDetector, ...entryPoints };
 };
 
--- a/src/coordination/leadership/shard-leader.ts
+++ b/src/coordination/leadership/shard-leader.ts
@@ -44,11 +44,12 @@
     this.state.extension?.stop();
     this.parts.autoscaler.stop();
     this.parts.roundTimer.stop();
+    this.parts.longPolls.endAll();
   }
 
-  /** The response to the heartbeat; null: nothing may be said in the shard's name. */
-  handleHeartbeat(heartbeat: Heartbeat): HeartbeatReply | null {
-    return this.parts.heartbeatResponder.respond(heartbeat);
+  /** The response to the heartbeat; null: nothing may be said in the shard's name. `mayWait`: it may wait for a start. */
+  handleHeartbeat(heartbeat: Heartbeat, mayWait: boolean): Promise<HeartbeatReply | null> {
+    return this.parts.heartbeatResponder.respond(heartbeat, mayWait);
   }
 
   /** The state of the machines for operators. */
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -106,9 +106,22 @@
     const snapshot = this.snapshot(this.recordBudget());
     this.lastRoundAt = snapshot.now;
     for (const action of decideRound(snapshot, this.roundState)) this.execute(action);
+    this.context.shard.backlog = this.hasWaitingTasks();
     this.reportInspections();
   }
 
+  private hasWaitingTasks(): boolean {
+    for (const {
+      spec,
+      cancelled,
+      awaitingDependencies,
+      placedTasks,
+      completedTasks,
+    } of this.context.shard.jobs.values())
+      if (!cancelled && !awaitingDependencies && placedTasks.size + completedTasks < spec.tasks) return true;
+    return false;
+  }
+
   /** Reports how many machines and tasks have been inspected since the last report. */
   reportInspections(): void {
     this.context.onInspected?.(this.inspection.count - this.reportedInspections);
--- a/src/coordination/workers/answered-starts.ts
+++ b/src/coordination/workers/answered-starts.ts
@@ -1,4 +1,7 @@
-/** The record of answered start commands, kept for the next leader of a shard. */
+/**
+ * The record of answered start commands, kept for the next leader of a shard. Only leaders of the version before start tasks by
+ * direct commands, so that it concerns tasks that they have placed.
+ */
 
 import type { ShardState } from "../../cluster/shard-state.js";
 import { mayStartLate, type Task } from "../../cluster/task.js";
@@ -33,9 +36,9 @@
  * Keeps on record which placed tasks have no start command without a response, so that the next leader holds only the
  * others on their machines (docs/heartbeat-evidence.md).
  *
- * The argument. A task that is placed is in `ShardState.unconfirmedStarts` from then on, and is sent direct commands to
- * start it only while it is. It leaves the set when it counts as answered, just before a write says so, and never comes
- * back: started once more, it is started by a response to a heartbeat, which is never carried out late. Whatever is
+ * The argument. A task that a leader of the version before has placed is in `ShardState.unconfirmedStarts` of each leader
+ * after it. It leaves the set when it counts as answered, just before a write says so, and never comes back: whatever
+ * starts it once more is a response to a heartbeat, which is never carried out late. Whatever is
  * placed after the record was built gets a higher version than its `revision`. So what a record says stays true as long
  * as its writer leads, however late it is applied, and while the next leader goes by the same rule. A leader in between of
  * an older version does not: the record is believed only from the leader just before.
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -1,10 +1,10 @@
 /** Commands to workers: which are due, and what becomes of those that were sent. */
 
 import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
-import { attemptOf, isActive, isPlacementRecorded, type StartCommandState, type Task } from "../../cluster/task.js";
+import { attemptOf, isActive, isPlacementRecorded, type Task } from "../../cluster/task.js";
 import { formatJson, MalformedMessageError, parseJson, type Uint64 } from "../../protocol/json.js";
 import { type Command, decodeHeartbeat, encodeCommandRequest } from "../../protocol/worker.js";
-import { type Micros, ms, seconds } from "../../transport/clock.js";
+import { type Micros, ms } from "../../transport/clock.js";
 import type { HttpOutcome } from "../../transport/http.js";
 import { WORKER_REQUEST_TIMEOUT } from "../../transport/timeouts.js";
 import type { ShardContext } from "../context.js";
@@ -12,22 +12,16 @@
 import { LogEvent } from "../log-events.js";
 import { decideEvictions } from "./graceful-eviction.js";
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
-import { commandsArrive, recordResponse, recordTimeout } from "./reachability.js";
+import type { LongPolls } from "./long-polls.js";
+import { recordResponse, recordTimeout } from "./reachability.js";
 
 const RETRY_DELAY = ms(500);
-/** Between two times that ended attempts are forgotten on one machine. */
-const FORGET_INTERVAL = seconds(20);
 /** No answer within this time is a message that got lost, not a connection that was refused. */
 const IMMEDIATE_FAILURE = ms(200);
 /** Keeps a request well below the limit of a body. */
 const MAX_COMMANDS = 200;
-
-/** A start that is being sent. An earlier one without an answer may still arrive, whatever becomes of this one. */
-interface SentStart {
-  readonly task: Task;
-  /** What was known of the task's start command before. */
-  readonly previous: StartCommandState;
-}
+/** Beyond half of its lease, for a worker whose clock is slow. */
+const TOKEN_REPORT_MARGIN = ms(100);
 
 interface CommandRequest {
   readonly address: string;
@@ -35,8 +29,6 @@
   /** The fencing token under which the commands are sent. */
   readonly token: number;
   readonly commands: readonly Command[];
-  /** The starts among the commands. */
-  readonly starts: readonly SentStart[];
 }
 
 interface CommandAnswer {
@@ -49,11 +41,16 @@
 
 const startOf = (task: Task): Command => ({ op: "start", task: task.name, attempt: attemptOf(task.desired) });
 
-/** Sends workers the difference between what is wanted on a machine and what it has reported. */
+/**
+ * Sends workers the difference between what is wanted on a machine and what it has reported. Tasks are started by responses to
+ * heartbeats only: a worker carries out neither a late one nor a copy of one, while a direct command may be delivered
+ * in a later life of it (docs/heartbeat-evidence.md).
+ */
 export class CommandDispatcher {
   constructor(
     private readonly context: ShardContext,
     private readonly heartbeats: HeartbeatProcessor,
+    private readonly longPolls: Pick<LongPolls, "end">,
   ) {}
 
   /**
@@ -75,42 +72,21 @@
     return commands.slice(0, Math.max(MAX_COMMANDS, pendingStops.length));
   }
 
-  /**
-   * Attempts that have ended and are on record, for the response to a heartbeat; called before its token is determined. Once
-   * forgotten, an attempt would be started again by its own start command, come late or a second time (a repeat of one that
-   * had been carried out started tasks twice on 15 of 60 days). So the same response that has them forgotten shows a token
-   * above all those under which anything was started; at most once in a while, since commands under way are dropped by it.
-   */
+  /** Attempts that have ended and are on record, for the response to a heartbeat that shows this leader's token. */
   forgetCommands(machine: Machine): Command[] {
-    const { clock, lease } = this.context;
-    if (machine.reported.exitedTasks.size === 0) return [];
     const commands: Command[] = [];
     for (const [name, attempt] of machine.reported.exitedTasks) {
+      if (commands.length >= MAX_COMMANDS) break;
       if (this.mayForget(name, attempt)) commands.push({ op: "forget", task: name, attempt });
     }
-    if (commands.length === 0 || machine.fencing.startSequence < machine.fencing.sequence)
-      return commands.slice(0, MAX_COMMANDS);
-    if (machine.commands.inFlight || clock.now() - machine.fencing.forgetSentAt < FORGET_INTERVAL) return [];
-    machine.fencing.forgetSentAt = clock.now();
-    machine.fencing.sequence += 1;
-    if (!hasFencingSequencesLeft(machine)) {
-      this.context.log.info(LogEvent.FencingSequencesExhausted, { machine: machine.name, epoch: lease.epoch });
-      this.context.onInconsistent();
-      return [];
-    }
-    return commands.slice(0, MAX_COMMANDS);
+    return commands;
   }
 
-  /**
-   * Starts for the response to a fenced heartbeat: of tasks that no direct command starts. A worker drops a response that
-   * comes late, so that one of these never does.
-   */
+  /** Starts for the response to a fenced heartbeat. Repeated by each response until the worker lists the attempt. */
   startsForResponse(machine: Machine): Command[] {
-    if (!this.isTrusted(machine)) return [];
-    const tasks = this.startableTasks(machine, "response");
+    const tasks = this.startableTasks(machine);
     if (tasks.length === 0) return [];
     const token = responseTokenOf(this.context.lease, machine);
-    machine.fencing.startSequence = machine.fencing.sequence;
     for (const task of tasks)
       task.startCommand = { kind: "uncertain", token, answered: task.unansweredStartAt === null };
     return tasks.map(startOf);
@@ -119,13 +95,16 @@
   /** Is there anything that cannot wait for the response to the next heartbeat? */
   hasUrgentCommands(machine: Machine): boolean {
     if (machine.reported.unexpectedTasks.size > 0) return true;
-    for (const task of machine.tasks) {
-      if (task.startCommand.kind === "none" || task.startCommand.kind === "uncertain") return true;
+    for (const task of machine.tasks)
       if ((task.stopRequest !== null || task.job.cancelled) && isActive(task)) return true;
-    }
     return false;
   }
 
+  /** Whether the next response to a heartbeat of the machine is to start a task that none has started yet. */
+  hasWaitingStarts(machine: Machine): boolean {
+    return this.startableTasks(machine).some(({ startCommand }) => startCommand.kind === "none");
+  }
+
   /** Only what is on record may be forgotten by the worker. */
   private mayForget(name: string, attempt: unknown): boolean {
     const slash = name.lastIndexOf("/");
@@ -140,22 +119,13 @@
     return ranges[Math.floor(index / size)]?.tasks[index % size] ?? null;
   }
 
-  /**
-   * Whether a direct command starts the task: not where it is on record that its starts were answered, nor where it is bound
-   * to the machine by a start that is still on its way and commands do not arrive.
-   */
-  private startsDirectly({ reachability }: Machine, task: Task): boolean {
-    if (!this.context.shard.unconfirmedStarts.has(task)) return false;
-    return task.unansweredStartAt === null || commandsArrive(reachability);
-  }
-
-  /** What is to be started, by a direct command or by the response to a heartbeat. */
-  private startableTasks(machine: Machine, by: "command" | "response"): Task[] {
+  /** What the next response to a heartbeat of the machine is to start. */
+  private startableTasks(machine: Machine): Task[] {
     const starts: Task[] = [];
-    if (!this.context.mayStartTasks(machine) || isBeingEmptied(machine)) return starts;
+    if (!this.isTrusted(machine) || !this.context.mayStartTasks(machine) || isBeingEmptied(machine)) return starts;
     for (const task of machine.tasks) {
       if (starts.length >= MAX_COMMANDS) break;
-      if (this.isStartable(task) && this.startsDirectly(machine, task) === (by === "command")) starts.push(task);
+      if (this.isStartable(task)) starts.push(task);
     }
     return starts;
   }
@@ -169,11 +139,13 @@
   }
 
   /**
-   * Sends the machine its commands, unless a request to it is under way. `probe`: send even without commands, to learn
-   * the worker's state under this leader's token.
+   * Sends the machine its commands, unless a request to it is under way, and sees to it that a heartbeat of it is responded to
+   * soon where starts wait for that. `probe`: send even without commands, to learn the worker's state under this
+   * leader's token.
    */
   async send(machine: Machine, probe = false): Promise<void> {
-    const request = this.buildRequest(machine, probe);
+    const startsWait = this.hasWaitingStarts(machine) && !this.longPolls.end(machine);
+    const request = this.buildRequest(machine, probe, startsWait);
     if (request === null) return;
     const { clock, http } = this.context;
     machine.commands.inFlight = true;
@@ -186,34 +158,38 @@
     );
     machine.commands.inFlight = false;
     this.updateReachability(machine, outcome, askedAt);
-    const pendingStarts = request.starts.filter(
-      ({ task }) => task.machine === machine && task.startCommand.kind === "sending",
-    );
-    if (outcome.kind === "answer" && (outcome.status === 200 || outcome.status === 409)) {
-      this.handleAnswer(machine, request, pendingStarts, {
-        body: outcome.body,
-        accepted: outcome.status === 200,
-        askedAt,
-      });
-    } else {
-      this.handleFailure(machine, request, pendingStarts, outcome.kind === "unsent");
-    }
+    if (outcome.kind === "answer" && (outcome.status === 200 || outcome.status === 409))
+      this.handleAnswer(machine, { body: outcome.body, accepted: outcome.status === 200, askedAt });
+    else this.retryLater(machine);
   }
 
-  /** Null where nothing may or need be sent; else the tasks to start are marked as being sent. */
-  private buildRequest(machine: Machine, probe: boolean): CommandRequest | null {
+  /** Null where nothing may or need be sent. */
+  private buildRequest(machine: Machine, probe: boolean, startsWait: boolean): CommandRequest | null {
     const { address, counters } = machine;
     const { incarnation } = counters;
     if (address === null || incarnation === null || !this.maySend(machine, probe)) return null;
-    const tasks = this.isTrusted(machine) ? this.startableTasks(machine, "command") : [];
-    const repeatable = this.repeatableCommands(machine);
-    if (tasks.length === 0 && !probe && repeatable.length === 0) return null;
-    const token = fencingTokenOf(this.context.lease, machine);
-    if (tasks.length > 0) machine.fencing.startSequence = machine.fencing.sequence;
-    const commands: Command[] = [...repeatable, ...tasks.map(startOf)];
-    const starts = tasks.map((task): SentStart => ({ task, previous: task.startCommand }));
-    for (const task of tasks) task.startCommand = { kind: "sending" };
-    return { address, incarnation, token, commands, starts };
+    const commands = this.repeatableCommands(machine);
+    const requestsHeartbeat = startsWait && this.raiseTokenForHeartbeat(machine);
+    if (!requestsHeartbeat && !probe && commands.length === 0) return null;
+    return { address, incarnation, token: fencingTokenOf(this.context.lease, machine), commands };
+  }
+
+  /**
+   * Raises the token of the next command, which the worker reports at once. It does so once per half of its lease; in between
+   * starts wait for its next heartbeat. Returns whether the token was raised.
+   */
+  private raiseTokenForHeartbeat(machine: Machine): boolean {
+    const { clock, lease, log, settings } = this.context;
+    const { fencing } = machine;
+    if (clock.now() - fencing.tokenRaisedAt < settings.workers.lease / 2 + TOKEN_REPORT_MARGIN) return false;
+    if (!hasFencingSequencesLeft(machine)) {
+      log.info(LogEvent.FencingSequencesExhausted, { machine: machine.name, epoch: lease.epoch });
+      this.context.onInconsistent();
+      return false;
+    }
+    fencing.sequence += 1;
+    fencing.tokenRaisedAt = clock.now();
+    return true;
   }
 
   private maySend(machine: Machine, probe: boolean): boolean {
@@ -234,39 +210,22 @@
   }
 
   /** The worker has accepted the commands, or refused them for their token or incarnation; its state is in the body. */
-  private handleAnswer(
-    machine: Machine,
-    request: CommandRequest,
-    pendingStarts: readonly SentStart[],
-    { body, accepted, askedAt }: CommandAnswer,
-  ): void {
+  private handleAnswer(machine: Machine, { body, accepted, askedAt }: CommandAnswer): void {
     const { clock, log } = this.context;
-    for (const { task, previous } of pendingStarts) task.startCommand = accepted ? { kind: "observed" } : previous;
     try {
       const heartbeat = decodeHeartbeat(parseJson(body));
       if (heartbeat.machine !== machine.name) throw new MalformedMessageError("status of another machine");
       this.heartbeats.process(machine, heartbeat, { kind: "status-reply", askedAt });
     } catch (error) {
       log.error(LogEvent.WorkerResponseMalformed, { machine: machine.name, error: String(error) });
-      this.markStartsUncertain(machine, request.token, pendingStarts);
     }
     machine.commands.nextAt = (accepted ? clock.now() : clock.now() + RETRY_DELAY) as Micros;
-    if (this.startableTasks(machine, "command").length > 0 || this.repeatableCommands(machine).length > 0) {
-      this.context.scheduleCommands(machine);
-    }
+    if (this.repeatableCommands(machine).length > 0) this.context.scheduleCommands(machine);
   }
 
-  /** `unsent`: the request surely did not leave; otherwise it may have been carried out or still arrive. */
-  private handleFailure(
-    machine: Machine,
-    request: CommandRequest,
-    pendingStarts: readonly SentStart[],
-    unsent: boolean,
-  ): void {
+  private retryLater(machine: Machine): void {
     const { clock } = this.context;
     machine.commands.nextAt = (clock.now() + RETRY_DELAY) as Micros;
-    if (unsent) for (const { task, previous } of pendingStarts) task.startCommand = previous;
-    else this.startsUnanswered(machine, request.token, pendingStarts);
     clock.after(RETRY_DELAY, () => this.context.scheduleCommands(machine));
   }
 
@@ -300,23 +259,6 @@
     recordTimeout(machine.reachability);
   }
 
-  /** The worker may carry the starts out at any time, also in a later life with reset counters. */
-  private startsUnanswered(machine: Machine, token: number, starts: readonly SentStart[]): void {
-    for (const { task } of starts) task.unansweredStartAt = this.context.clock.now();
-    this.markStartsUncertain(machine, token, starts);
-  }
-
-  /**
-   * A command got lost on the way and may arrive minutes later, under this token. From now on the machine is
-   * sent a higher one; a heartbeat that shows it proves that the lost command is dropped.
-   */
-  private markStartsUncertain(machine: Machine, token: number, starts: readonly SentStart[]): void {
-    // Stops name an attempt that has been seen: late or twice, they do no harm.
-    if (starts.length === 0) return;
-    for (const { task } of starts) task.startCommand = { kind: "uncertain", token };
-    machine.fencing.sequence += 1;
-  }
-
   /** Stops tasks that cannot end well where they are. */
   evict(machine: Machine): void {
     for (const action of decideEvictions(machine, this.context.clock.now())) {
--- a/src/coordination/workers/heartbeat-processor.ts
+++ b/src/coordination/workers/heartbeat-processor.ts
@@ -180,7 +180,8 @@
     if (sequence > machine.fencing.sequence && sequence < FENCING_SEQUENCES) machine.fencing.sequence = sequence;
   }
 
-  private copyCounters({ counters }: Machine, heartbeat: Heartbeat): void {
+  private copyCounters({ counters, fencing }: Machine, heartbeat: Heartbeat): void {
+    if (heartbeat.token > counters.highestToken) fencing.tokenRaisedAt = this.context.clock.now();
     counters.incarnation = heartbeat.incarnation;
     counters.sequence = heartbeat.sequence;
     counters.highestToken = heartbeat.token;
@@ -213,7 +214,7 @@
 
   /** The task does not run on its machine and stays placed there. */
   private resetToUnstarted(task: Task): void {
-    if (task.startCommand.kind !== "sending") task.startCommand = { kind: "none" };
+    task.startCommand = { kind: "none" };
     this.context.shard.setReportedState(task, null);
     task.runningSince = null;
   }
--- /dev/null
+++ b/src/coordination/workers/long-polls.ts
@@ -0,0 +1,90 @@
+/** Long polling by workers: responses to heartbeats that wait, so that a start reaches its machine at once. */
+
+import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
+import { type Clock, type Micros, ms, seconds, type Timer } from "../../transport/clock.js";
+import { isReachable } from "./reachability.js";
+
+/** Well below the 4 s for which a worker waits for a response. */
+const MAX_WAIT = seconds(3);
+/** A placement round follows within this time on the end of a task. */
+const ROUND_WAIT = ms(500);
+const NO_WAIT = 0 as Micros;
+
+const hasRoom = ({ type, load }: Machine): boolean =>
+  type !== null && load.used.cpu < type.capacity.cpu && load.used.ram < type.capacity.ram;
+
+const hasUnstartedTask = ({ tasks }: Machine): boolean => {
+  for (const { startCommand } of tasks) if (startCommand.kind === "none") return true;
+  return false;
+};
+
+/** What a shard knows beside the machine itself. */
+export interface PlacementOutlook {
+  /** The heartbeat told of the end of a task, so that the next round may place another on the machine. */
+  readonly freedRoom: boolean;
+  /** The last round left tasks waiting: nothing is about to be placed where there is room already. */
+  readonly backlog: boolean;
+}
+
+/**
+ * How long the response to a heartbeat of the machine may wait for a start; 0: it is to be sent at once. Meanwhile the worker
+ * reports nothing, not even the end of a task, so that machines wait only where a start is likely.
+ */
+export const longPollTime = (machine: Machine, now: Micros, { freedRoom, backlog }: PlacementOutlook): Micros => {
+  const { state, lifecycle, reachability, tasks } = machine;
+  const takesTasks =
+    state === "up" && !isBeingEmptied(machine) && lifecycle.drainReason === null && lifecycle.quarantinedUntil <= now;
+  if (!takesTasks || !isReachable(reachability) || reachability.probeToken !== null) return NO_WAIT;
+  if (tasks.size === 0 || hasUnstartedTask(machine) || (hasRoom(machine) && !backlog)) return MAX_WAIT;
+  return freedRoom ? ROUND_WAIT : NO_WAIT;
+};
+
+/** Why a wait is over: its time has passed, or the response is to be sent now. */
+export type WaitEnd = "time passed" | "ended";
+
+interface LongPoll {
+  readonly timer: Timer;
+  readonly resolve: (end: WaitEnd) => void;
+}
+
+/** The responses that wait, at most one a machine. */
+export class LongPolls {
+  private readonly waiting = new Map<Machine, LongPoll>();
+
+  /** `maxWaiting`: so many responses wait at once, since each takes a connection. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly maxWaiting: number,
+  ) {}
+
+  /**
+   * Waits until `end` is called for the machine, at most for `time`; not at all where too many wait already. An earlier wait for
+   * the machine ends now.
+   */
+  wait(machine: Machine, time: Micros): Promise<WaitEnd> {
+    this.end(machine);
+    if (this.waiting.size >= this.maxWaiting) return Promise.resolve("ended");
+    return new Promise((resolve) => {
+      const timer = this.clock.after(time, () => {
+        this.waiting.delete(machine);
+        resolve("time passed");
+      });
+      this.waiting.set(machine, { timer, resolve });
+    });
+  }
+
+  /** Ends the wait for the machine. Returns whether there was one. */
+  end(machine: Machine): boolean {
+    const longPoll = this.waiting.get(machine);
+    if (longPoll === undefined) return false;
+    this.waiting.delete(machine);
+    longPoll.timer.cancel();
+    longPoll.resolve("ended");
+    return true;
+  }
+
+  /** Ends all waits. */
+  endAll(): void {
+    for (const machine of [...this.waiting.keys()]) this.end(machine);
+  }
+}
--- a/src/coordination/workers/task-list-reconciliation.ts
+++ b/src/coordination/workers/task-list-reconciliation.ts
@@ -110,7 +110,6 @@
   private reconcileUnlisted(machine: Machine, task: Task, token: Uint64): void {
     switch (task.startCommand.kind) {
       case "none":
-      case "sending":
         return;
       case "uncertain":
         // Only a worker past the token under which the start was sent can no longer get it.
--- a/test/fault-combinations.test.ts
+++ b/test/fault-combinations.test.ts
@@ -335,3 +335,29 @@
     );
   }
 });
+
+// Guards against a start by a direct command: answered, and copied by the network, it runs a task a second time in the next
+// life of a worker, which takes any token until it has seen one.
+test("a copy of what was sent to a machine lands there after the machine was back with its counters anew", async () => {
+  const c = new Cluster(17);
+  c.cloud.boots = { never: 0, late: 0, early: 0 };
+  c.submit(plainJob("wk-890000", { shards: 1, cpus: 2, area: "east", guessS: 300 }), { runUs: 300 * S });
+  await c.run(30 * S);
+  const first = c.checker.placesOf("wk-890000/0")[0];
+  const worker = c.cloud.running().find(({ info }) => info.name === first)?.worker;
+  assert.ok(worker, "nothing has begun");
+  const { address } = worker.host;
+  c.network.keep((to) => to === address, 1, 60 * S);
+  c.submit(plainJob("wk-890001", { shards: 1, cpus: 1, area: "east", guessS: 300, sizeGb: 0.1 }), { runUs: 300 * S });
+  await c.run(20 * S);
+  assert.deepEqual(c.checker.placesOf("wk-890001/0"), [first]);
+  // Its tasks go on elsewhere.
+  worker.notice(60 * S);
+  await c.run(40 * S);
+  assert.notDeepEqual(c.checker.placesOf("wk-890001/0"), [first]);
+  assert.ok(c.checker.isOn("wk-890001/0"));
+  worker.restart(false);
+  assert.ok(c.network.release([address]) > 0, "nothing was copied");
+  await c.run(30 * S);
+  assert.deepEqual(c.errors, []);
+});
--- /dev/null
+++ b/test/long-polls.test.ts
@@ -0,0 +1,121 @@
+/** Starts by responses to heartbeats: which responses wait for one, and how a heartbeat is brought about where none does. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Machine } from "../src/cluster/machine.js";
+import { CommandDispatcher } from "../src/coordination/workers/command-dispatcher.js";
+import { HeartbeatProcessor } from "../src/coordination/workers/heartbeat-processor.js";
+import { LongPolls, longPollTime } from "../src/coordination/workers/long-polls.js";
+import type { TaskStatus } from "../src/protocol/worker.js";
+import type { Micros } from "../src/transport/clock.js";
+import type { HttpOutcome } from "../src/transport/http.js";
+import { makeShard, nothing, placedTask, report } from "./shard-fixtures.js";
+
+const HEARTBEAT = { kind: "heartbeat" } as const;
+const WAITS = 3_000_000;
+
+/** A machine that has shown this leader's token, and the commands that are sent to it. */
+const scene = () => {
+  const { shard, context, taskStates, world } = makeShard(1);
+  const machine = [...shard.machines.values()][0] as Machine;
+  const sent: { readonly baton: number; readonly orders: readonly unknown[] }[] = [];
+  const call = async (_: string, { body }: { body: string }): Promise<HttpOutcome> => {
+    sent.push(JSON.parse(body));
+    return { kind: "lost" };
+  };
+  Object.assign(context, { http: { call } });
+  const heartbeats = new HeartbeatProcessor(context, taskStates);
+  const longPolls = new LongPolls(context.clock, 2);
+  const dispatcher = new CommandDispatcher(context, heartbeats, longPolls);
+  heartbeats.process(machine, report({ sequence: 1 }), HEARTBEAT);
+  return { shard, context, world, machine, heartbeats, longPolls, dispatcher, sent };
+};
+
+test("a response waits where a start is likely, and nowhere else", () => {
+  const { shard, context, machine } = scene();
+  const now = context.clock.now();
+  const time = (freedRoom: boolean, backlog: boolean): number => longPollTime(machine, now, { freedRoom, backlog });
+  assert.equal(time(false, true), WAITS, "an idle machine has nothing to report");
+  const task = placedTask(shard, machine);
+  assert.equal(time(false, true), WAITS, "its placement is about to be on record");
+  task.startCommand = { kind: "observed" };
+  assert.equal(time(false, false), WAITS, "what is submitted next may be placed in its room");
+  assert.equal(time(false, true), 0, "what waits does not fit");
+  assert.equal(time(true, true), 500_000, "the next round may place something in the room that was freed");
+  machine.load.used = { ...machine.load.used, cpu: machine.type?.capacity.cpu ?? 0 };
+  assert.equal(time(false, false), 0, "it has no room");
+});
+
+test("no response waits for a machine that takes no tasks, or that messages may not reach", () => {
+  const changes: readonly ((machine: Machine) => void)[] = [
+    (machine) => Object.assign(machine, { state: "unconfirmed" }),
+    ({ lifecycle }) => Object.assign(lifecycle, { drainReason: "faulty" }),
+    ({ lifecycle }) => Object.assign(lifecycle, { reclaimAt: 1 }),
+    ({ lifecycle }) => Object.assign(lifecycle, { quarantinedUntil: 1e15 }),
+    ({ reachability }) => Object.assign(reachability, { consecutiveTimeouts: 2 }),
+    ({ reachability }) => Object.assign(reachability, { probeToken: 65_537 }),
+  ];
+  for (const change of changes) {
+    const { machine, context } = scene();
+    change(machine);
+    assert.equal(longPollTime(machine, context.clock.now(), { freedRoom: true, backlog: false }), 0);
+  }
+});
+
+test("a wait ends with its time, when it is ended, or with a newer one, and beyond the bound there is none", async () => {
+  const { context, world, machine, longPolls } = scene();
+  const ends: string[] = [];
+  const wait = (name: string, target: Machine, time: number): void => {
+    void longPolls.wait(target, time as Micros).then((end) => ends.push(`${name}: ${end}`));
+  };
+  const others = [...makeShard(3).shard.machines.values()];
+  wait("first", machine, WAITS);
+  wait("newer", machine, 1_000_000);
+  wait("other", others[1] as Machine, WAITS);
+  wait("beyond", others[2] as Machine, WAITS);
+  await world.run(world.now + 10, nothing);
+  assert.deepEqual(ends.splice(0), ["first: ended", "beyond: ended"]);
+  await world.run(world.now + 1_100_000, nothing);
+  assert.deepEqual(ends.splice(0), ["newer: time passed"]);
+  assert.equal(longPolls.end(machine), false);
+  longPolls.endAll();
+  await world.run(world.now + 10, nothing);
+  assert.deepEqual(ends, ["other: ended"]);
+  assert.ok(context.clock.now() > 0);
+});
+
+test("a start goes out with the response that waits, without a command", async () => {
+  const { shard, machine, longPolls, dispatcher, sent, world } = scene();
+  let ended = false;
+  void longPolls.wait(machine, WAITS as Micros).then(() => {
+    ended = true;
+  });
+  const task = placedTask(shard, machine);
+  world.now += 60_000_000;
+  await dispatcher.send(machine);
+  await Promise.resolve();
+  assert.ok(ended);
+  assert.deepEqual(sent, []);
+  assert.deepEqual(dispatcher.startsForResponse(machine), [{ op: "start", task: task.name, attempt: 1 }]);
+});
+
+test("where no response waits a raised token brings a heartbeat about, once per half of a lease", async () => {
+  const { shard, machine, heartbeats, dispatcher, sent, world, context } = scene();
+  placedTask(shard, machine);
+  await dispatcher.send(machine);
+  assert.deepEqual(sent, [], "the worker has just reported a higher token");
+  world.now += context.settings.workers.lease / 2 + 200_000;
+  await dispatcher.send(machine);
+  assert.deepEqual(sent, [{ baton: 65_537, tenure: 1, orders: [] }]);
+  world.now += 5_000_000;
+  await dispatcher.send(machine);
+  assert.equal(sent.length, 1, "that would not be reported");
+  heartbeats.process(machine, report({ sequence: 2, token: 65_537 }), HEARTBEAT);
+  const [start] = dispatcher.startsForResponse(machine);
+  assert.ok(start?.op === "start");
+  world.now += 60_000_000;
+  await dispatcher.send(machine);
+  assert.equal(sent.length, 1, "what a response has carried is repeated by the next one");
+  const tasks: TaskStatus[] = [{ task: start.task, attempt: 1, state: "running", reason: null }];
+  heartbeats.process(machine, report({ sequence: 3, token: 65_537, tasks }), HEARTBEAT);
+  assert.deepEqual(dispatcher.startsForResponse(machine), []);
+});
