--- a/src/coordination/leadership/heartbeat-responder.ts
+++ b/src/coordination/leadership/heartbeat-responder.ts
@@ -52,14 +52,14 @@
     const machine = this.machineOf(heartbeat);
     if (this.isInUnreachableZone(machine)) return null;
     const overtaken = mayBeOvertaken(machine.counters, machine.lease.expired, heartbeat);
-    const tasksBefore = machine.tasks.size;
     const freshness = heartbeats.process(machine, heartbeat, FROM_HEARTBEAT);
     if (freshness === "suspect" && !overtaken) return null;
     const permitted = this.permittedFor(machine, freshness);
     this.scheduleSending(machine, permitted);
     if (!permitted.renew) return null;
-    if (mayWait && freshness === "fenced" && this.waitTimeOf(machine, machine.tasks.size < tasksBefore) > 0) {
-      await this.waitForStarts(machine, machine.tasks.size < tasksBefore);
+    const waitTime = mayWait && freshness === "fenced" ? this.waitTimeOf(machine) : NO_WAIT;
+    if (waitTime > 0) {
+      await this.waitForStarts(machine, waitTime);
       if (!this.mayRespondTo(heartbeat) || !this.dependencies.unreachableZones.mayAnswer(machine.zone)) return null;
     }
     machine.lease.renewedAt = context.clock.now();
@@ -78,22 +78,22 @@
   }
 
   /** Waits for longer where a round has placed a task meanwhile that is not on record yet. */
-  private async waitForStarts(machine: Machine, freedRoom: boolean): Promise<void> {
+  private async waitForStarts(machine: Machine, waitTime: Micros): Promise<void> {
     const { context, longPolls } = this.dependencies;
     const startedAt = context.clock.now();
-    const firstEnd = await longPolls.wait(machine, this.waitTimeOf(machine, freedRoom));
-    const timeLeft = this.waitTimeOf(machine, false) - (context.clock.now() - startedAt);
+    const firstEnd = await longPolls.wait(machine, waitTime);
+    const timeLeft = this.waitTimeOf(machine) - (context.clock.now() - startedAt);
     if (firstEnd === "time passed" && timeLeft > 0) await longPolls.wait(machine, timeLeft as Micros);
   }
 
   /** Under load timers are late, and a worker that had no response in time would try another controller. */
-  private waitTimeOf(machine: Machine, freedRoom: boolean): Micros {
+  private waitTimeOf(machine: Machine): Micros {
     const { context, commands } = this.dependencies;
     if (context.loadShedder.atLeast("degraded") || commands.hasWaitingStarts(machine)) return NO_WAIT;
     const now = context.clock.now();
     // A worker whose lease may end soon, as after a failover, gets its response at once.
     if (now - machine.lease.respondedAt > context.settings.workers.lease / 2) return NO_WAIT;
-    return longPollTime(machine, now, { freedRoom, backlog: context.shard.backlog });
+    return longPollTime(machine, now, context.shard.backlog);
   }
 
   /** While its zone is on record as unreachable a worker gets no response; its heartbeat is noted. */
--- a/src/coordination/workers/long-polls.ts
+++ b/src/coordination/workers/long-polls.ts
@@ -1,13 +1,13 @@
 /** Long polling by workers: responses to heartbeats that wait, so that a start reaches its machine at once. */
 
 import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
-import { type Clock, type Micros, ms, seconds, type Timer } from "../../transport/clock.js";
+import { type Clock, type Micros, seconds, type Timer } from "../../transport/clock.js";
 import { isReachable } from "./reachability.js";
 
 /** Well below the 4 s for which a worker waits for a response. */
 const MAX_WAIT = seconds(3);
-/** A placement round follows within this time on the end of a task. */
-const ROUND_WAIT = ms(500);
+/** Where tasks wait for room, ends of tasks are to be reported soon. */
+const MAX_WAIT_UNDER_BACKLOG = seconds(1.5);
 const NO_WAIT = 0 as Micros;
 
 const hasRoom = ({ type, load }: Machine): boolean =>
@@ -18,25 +18,19 @@
   return false;
 };
 
-/** What a shard knows beside the machine itself. */
-export interface PlacementOutlook {
-  /** The heartbeat told of the end of a task, so that the next round may place another on the machine. */
-  readonly freedRoom: boolean;
-  /** The last round left tasks waiting: nothing is about to be placed where there is room already. */
-  readonly backlog: boolean;
-}
-
 /**
  * How long the response to a heartbeat of the machine may wait for a start; 0: it is to be sent at once. Meanwhile the worker
- * reports nothing, not even the end of a task, so that machines wait only where a start is likely.
+ * reports nothing, not even the end of a task, so that machines wait only where a start is likely. `backlog`: the last placement
+ * round left tasks waiting.
  */
-export const longPollTime = (machine: Machine, now: Micros, { freedRoom, backlog }: PlacementOutlook): Micros => {
+export const longPollTime = (machine: Machine, now: Micros, backlog: boolean): Micros => {
   const { state, lifecycle, reachability, tasks } = machine;
   const takesTasks =
     state === "up" && !isBeingEmptied(machine) && lifecycle.drainReason === null && lifecycle.quarantinedUntil <= now;
   if (!takesTasks || !isReachable(reachability) || reachability.probeToken !== null) return NO_WAIT;
-  if (tasks.size === 0 || hasUnstartedTask(machine) || (hasRoom(machine) && !backlog)) return MAX_WAIT;
-  return freedRoom ? ROUND_WAIT : NO_WAIT;
+  if (tasks.size === 0 || hasUnstartedTask(machine)) return MAX_WAIT;
+  if (!hasRoom(machine)) return NO_WAIT;
+  return backlog ? MAX_WAIT_UNDER_BACKLOG : MAX_WAIT;
 };
 
 /** Why a wait is over: its time has passed, or the response is to be sent now. */
--- a/test/long-polls.test.ts
+++ b/test/long-polls.test.ts
@@ -33,16 +33,16 @@
 test("a response waits where a start is likely, and nowhere else", () => {
   const { shard, context, machine } = scene();
   const now = context.clock.now();
-  const time = (freedRoom: boolean, backlog: boolean): number => longPollTime(machine, now, { freedRoom, backlog });
-  assert.equal(time(false, true), WAITS, "an idle machine has nothing to report");
+  const time = (backlog: boolean): number => longPollTime(machine, now, backlog);
+  assert.equal(time(true), WAITS, "an idle machine has nothing to report");
   const task = placedTask(shard, machine);
-  assert.equal(time(false, true), WAITS, "its placement is about to be on record");
+  assert.equal(time(true), WAITS, "its placement is about to be on record");
   task.startCommand = { kind: "observed" };
-  assert.equal(time(false, false), WAITS, "what is submitted next may be placed in its room");
-  assert.equal(time(false, true), 0, "what waits does not fit");
-  assert.equal(time(true, true), 500_000, "the next round may place something in the room that was freed");
+  assert.equal(time(false), WAITS, "what is submitted next may be placed in its room");
+  assert.equal(time(true), 1_500_000, "what waits does not fit: the next end is to be reported sooner");
   machine.load.used = { ...machine.load.used, cpu: machine.type?.capacity.cpu ?? 0 };
-  assert.equal(time(false, false), 0, "it has no room");
+  assert.equal(time(false), 0, "it has no room");
+  assert.equal(time(true), 0);
 });
 
 test("no response waits for a machine that takes no tasks, or that messages may not reach", () => {
@@ -57,7 +57,7 @@
   for (const change of changes) {
     const { machine, context } = scene();
     change(machine);
-    assert.equal(longPollTime(machine, context.clock.now(), { freedRoom: true, backlog: false }), 0);
+    assert.equal(longPollTime(machine, context.clock.now(), false), 0);
   }
 });
 
