--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -89,10 +89,13 @@
   await site.submit(second, 2);
 
   // From here on there is no trouble: the machine is empty, it reports and is answered, and the team runs nothing.
-  const calmSince = performance.now();
+  // Counts only the time for which that holds.
+  let calmSince = performance.now();
   for (;;) {
     await sleep(1_000);
     const ran = [...machine.tasks.values()].some(({ shard }) => shard.startsWith(second.ref));
+    const isEmpty = [...machine.tasks.values()].every(({ phase }) => phase === "exited");
+    if (machine.ended || !isEmpty) calmSince = performance.now();
     const waited = (performance.now() - calmSince) / 1_000;
     if (ran) {
       record.write(`${second.ref} was started after ${waited.toFixed(1)} s`);
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -68,7 +68,13 @@
   start() {
     const [program, ...args] = runCommand();
     const log = openSync(this.logPath, "a");
-    const child = spawn(program, [...args, this.settingsPath], { cwd: ROOT, stdio: ["ignore", "ignore", log] });
+    // The pipe closes when this process ends for any reason, and the controller then ends by itself (operations/service.md).
+    const child = spawn(program, [...args, this.settingsPath], {
+      cwd: ROOT,
+      stdio: ["pipe", "ignore", log],
+      env: { ...process.env, RAINRIDGE_END_WITH_STDIN: "1" },
+    });
+    child.stdin.on("error", () => undefined);
     closeSync(log);
     child.on("exit", (code, signal) => {
       if (this.process !== child) return;
@@ -191,6 +197,12 @@
     throw new CannotRun(`${ref}: the abort was not answered within 60 s`);
   }
 
+  /** Ends all processes at once and removes the folder, where the case ends before its time. */
+  abandon() {
+    for (const controller of this.controllers) controller.process?.kill("SIGKILL");
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
   async end() {
     for (const controller of this.controllers) await controller.kill();
     for (const close of this.closers) await close();
@@ -204,17 +216,17 @@
   const site = new Site(caseFolder);
   const watchdog = setTimeout(async () => {
     site.record.write("result: could not run (over 118 s)");
-    for (const controller of site.controllers) controller.process?.kill("SIGKILL");
+    site.abandon();
     process.exit(2);
   }, 118_000);
   for (const signal of ["SIGINT", "SIGTERM"])
     process.on(signal, () => {
-      for (const controller of site.controllers) controller.process?.kill("SIGKILL");
+      site.abandon();
       process.exit(2);
     });
   process.on("uncaughtException", (error) => {
     site.record.write(`result: could not run: ${error.stack}`);
-    for (const controller of site.controllers) controller.process?.kill("SIGKILL");
+    site.abandon();
     process.exit(2);
   });
   let status = 2;
