Which starts a response carries is decided in a module of its own

The choice moves to start-commands.ts unchanged; it is pure, and the starts that are not repeated are to be found there next.

--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -1,7 +1,7 @@
 /** Commands to workers: determines which are due, sends them and processes the replies. */
 
 import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
-import { attemptOf, isActive, isPlacementRecorded, type Task } from "../../cluster/task.js";
+import { attemptOf, isActive, type Task } from "../../cluster/task.js";
 import { formatJson, MalformedMessageError, parseJson, type Uint64 } from "../../protocol/json.js";
 import { type Command, decodeHeartbeat, encodeCommandRequest } from "../../protocol/worker.js";
 import { type Micros, ms } from "../../transport/clock.js";
@@ -14,6 +14,7 @@
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
 import type { LongPolls } from "./long-polls.js";
 import { recordResponse, recordTimeout } from "./reachability.js";
+import { startableTasks } from "./start-commands.js";
 
 const RETRY_DELAY = ms(500);
 /** A request that fails sooner was refused a connection or not sent; one that fails later was lost. */
@@ -85,7 +86,7 @@
 
   /** Starts for the response to a fenced heartbeat; each response repeats them until the worker lists the attempt. */
   startsForResponse(machine: Machine): Command[] {
-    const tasks = this.startableTasks(machine);
+    const tasks = startableTasks(this.context, machine, MAX_COMMANDS);
     if (tasks.length === 0) return [];
     const token = responseTokenOf(this.context.lease, machine);
     for (const task of tasks)
@@ -103,7 +104,7 @@
 
   /** Whether the next response to a heartbeat is to start a task for which no start command has been sent yet. */
   hasWaitingStarts(machine: Machine): boolean {
-    return this.startableTasks(machine).some(({ startCommand }) => startCommand.kind === "none");
+    return startableTasks(this.context, machine, MAX_COMMANDS).some(({ startCommand }) => startCommand.kind === "none");
   }
 
   /** A worker may forget an attempt only once its end is on record. */
@@ -120,25 +121,6 @@
     return ranges[Math.floor(index / size)]?.tasks[index % size] ?? null;
   }
 
-  /** The tasks that the next response to a heartbeat of the machine is to start. */
-  private startableTasks(machine: Machine): Task[] {
-    const starts: Task[] = [];
-    if (!this.isFenced(machine) || !this.context.mayStartTasks(machine) || isBeingEmptied(machine)) return starts;
-    for (const task of machine.tasks) {
-      if (starts.length >= MAX_COMMANDS) break;
-      if (this.isStartable(task)) starts.push(task);
-    }
-    return starts;
-  }
-
-  private isStartable(task: Task): boolean {
-    const { startCommand, job } = task;
-    if (startCommand.kind !== "none" && (startCommand.kind !== "uncertain" || task.state !== null)) return false;
-    if (!isPlacementRecorded(task) || job.cancelled || task.stopRequest !== null) return false;
-    // A held task counts against its team's limit, which the tasks that a new leader restores may together exceed.
-    return task.unansweredStartAt === null || this.context.shard.withinLimit(job.spec, 0);
-  }
-
   /**
    * Sends the machine its commands, unless a request to it is in flight. If starts wait for the response to a
    * heartbeat, ends the wait of a held response, or raises the token so that the worker sends a heartbeat. `probe`:
@@ -200,16 +182,6 @@
     return machine.state === "up" && !machine.lease.expired && clock.now() >= machine.commands.nextRequestAt;
   }
 
-  /**
-   * Whether the worker has shown this leader's token. Inherited tasks are not started again before that: an attempt may
-   * have ended without its end being on record yet.
-   */
-  private isFenced({ state, counters }: Machine): boolean {
-    return (
-      state === "up" && counters.highestToken >= firstFencingToken(this.context.lease) && counters.resetToken === 0
-    );
-  }
-
   /**
    * The worker has accepted the commands, or rejected them for their token or incarnation; the body holds its status.
    */
--- /dev/null
+++ b/src/coordination/workers/start-commands.ts
@@ -0,0 +1,36 @@
+/** Start commands of a machine's tasks: which ones the next response to its heartbeat carries. */
+
+import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
+import { isPlacementRecorded, type Task } from "../../cluster/task.js";
+import type { ShardContext, ShardLease } from "../context.js";
+import { firstFencingToken } from "../fencing-token.js";
+
+/** The parts of the shard context on which it depends whether a task may be started. */
+export type StartContext = Pick<ShardContext, "shard" | "lease" | "mayStartTasks">;
+
+/**
+ * Whether the worker has shown this leader's token. Inherited tasks are not started again before that: an attempt may
+ * have ended without its end being on record yet.
+ */
+const isFenced = (lease: ShardLease, { state, counters }: Machine): boolean =>
+  state === "up" && counters.highestToken >= firstFencingToken(lease) && counters.resetToken === 0;
+
+/** Whether the next response may start the task, for the first time or again. */
+const isStartable = ({ shard }: StartContext, task: Task): boolean => {
+  const { startCommand, job } = task;
+  if (startCommand.kind !== "none" && (startCommand.kind !== "uncertain" || task.state !== null)) return false;
+  if (!isPlacementRecorded(task) || job.cancelled || task.stopRequest !== null) return false;
+  // A held task counts against its team's limit, which the tasks that a new leader restores may together exceed.
+  return task.unansweredStartAt === null || shard.withinLimit(job.spec, 0);
+};
+
+/** The tasks that the next response to a heartbeat of the machine is to start, at most `limit` of them. */
+export const startableTasks = (context: StartContext, machine: Machine, limit: number): readonly Task[] => {
+  const tasks: Task[] = [];
+  if (!isFenced(context.lease, machine) || !context.mayStartTasks(machine) || isBeingEmptied(machine)) return tasks;
+  for (const task of machine.tasks) {
+    if (tasks.length >= limit) break;
+    if (isStartable(context, task)) tasks.push(task);
+  }
+  return tasks;
+};
