The leader's summary counts starts that are uncertain and, of these, the revoked ones

Heartbeats that are not believed and unreachable machines have their entries already; starts had none.

`starts` in `capacity summarized`: `uncertain` tasks were sent and are not listed yet, `revoked` ones of these are not sent again.

--- a/src/coordination/leadership/leader-checks.ts
+++ b/src/coordination/leadership/leader-checks.ts
@@ -10,6 +10,7 @@
 import type { CommandDispatcher } from "../workers/command-dispatcher.js";
 import type { FailureDetector } from "../workers/failure-detector.js";
 import type { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
+import { countUncertainStarts } from "../workers/start-commands.js";
 import type { MachineTypeRefresher } from "./machine-type-refresher.js";
 
 const CHECK_INTERVAL = ms(250);
@@ -112,6 +113,7 @@
       ...scheduler.summarize(),
       jobs: shard.jobs.size,
       failing: heartbeats.takeFailureCounts(),
+      starts: countUncertainStarts(shard.machines.values()),
       reports: heartbeats.takeFreshnessCounts(),
       records: { ...taskStates.takePlacementDelays(), ...transactions.takeSummary() },
     });
--- a/src/coordination/log-events.ts
+++ b/src/coordination/log-events.ts
@@ -30,7 +30,7 @@
   LeaderStepFailed: "leader step failed",
   /** A placement round threw. */
   RoundFailed: "round failed",
-  /** Summary every 30 s: pools, waiting jobs, failures, heartbeats and writes. */
+  /** Summary every 30 s: pools, waiting jobs, failures, starts, heartbeats and writes. */
   CapacitySummarized: "capacity summarized",
   /** A loop that is to run for the life of the process has ended with an error. */
   LoopFailed: "loop failed",
--- a/src/coordination/workers/start-commands.ts
+++ b/src/coordination/workers/start-commands.ts
@@ -34,3 +34,30 @@
   }
   return tasks;
 };
+
+/** Whether a start command that was sent may still be executed and no response repeats it. */
+const isRevoked = ({ startCommand, job, stopRequest, machine }: Task): boolean => {
+  if (startCommand.kind !== "uncertain" || machine === null) return false;
+  return job.cancelled || stopRequest !== null || isBeingEmptied(machine);
+};
+
+/** Numbers of tasks that hold capacity while it is not known whether their worker has executed their start command. */
+export interface UncertainStartCounts {
+  /** Their start command may still be executed. */
+  readonly uncertain: number;
+  /** Of these, the ones whose start command is not repeated: cancelled, to be stopped, or on a draining machine. */
+  readonly revoked: number;
+}
+
+/** Counts the tasks of all machines whose start command may still be executed. */
+export const countUncertainStarts = (machines: Iterable<Machine>): UncertainStartCounts => {
+  let uncertain = 0;
+  let revoked = 0;
+  for (const machine of machines) {
+    for (const task of machine.tasks) {
+      if (task.startCommand.kind === "uncertain") uncertain += 1;
+      if (isRevoked(task)) revoked += 1;
+    }
+  }
+  return { uncertain, revoked };
+};
