A lost start that is not sent again is proved lost by a raised token

What callers saw: left_waiting. A response that started four tasks was lost in a reset of 0.8 s and their job was cancelled before the worker's next heartbeat. The machine stayed taken until the leader changed: the next job waited for 90 s and on beside it, and the cancelled one was answered with "running":4.

Cause: a start that was sent is uncertain until the worker lists it or shows a token above its own. What goes on is sent again in each response and so listed in the end; what is not sent again (job cancelled, task to be stopped, machine to be emptied) had nothing that raised the token.

Why this works: the response that doesn't repeat a start carries a token above it. The worker reports that token, and its list under it proves the start lost or shows it running, by the rule that stood already. Raised once per start, so a machine that no response reaches uses up no tokens. Such a response doesn't wait for work.

The same on related paths: the rest of a gang that is dissolved, machines that are emptied (scale-in, reclaim notice).

--- a/src/coordination/leadership/heartbeat-responder.ts
+++ b/src/coordination/leadership/heartbeat-responder.ts
@@ -11,6 +11,7 @@
 import type { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
 import { type LongPolls, longPollTime } from "../workers/long-polls.js";
 import { isOneWay } from "../workers/reachability.js";
+import { hasRevokedStarts } from "../workers/start-commands.js";
 import type { UnreachableZones } from "../workers/unreachable-zones.js";
 import type { LeaderState } from "./leader-state.js";
 import { type PermittedReplies, pendingStops, permittedReplies } from "./lease-authority.js";
@@ -92,7 +93,8 @@
    */
   private waitTimeOf(machine: Machine): Micros {
     const { context, commands } = this.dependencies;
-    if (context.loadShedder.atLeast("degraded") || commands.hasWaitingStarts(machine)) return NO_WAIT;
+    if (context.loadShedder.atLeast("degraded")) return NO_WAIT;
+    if (commands.hasWaitingStarts(machine) || hasRevokedStarts(machine)) return NO_WAIT;
     const now = context.clock.now();
     // A worker whose lease may expire soon, as after a failover, gets its response at once.
     if (now - machine.lease.respondedAt > context.settings.workers.lease / 2) return NO_WAIT;
--- a/src/coordination/log-events.ts
+++ b/src/coordination/log-events.ts
@@ -56,6 +56,8 @@
   TasksLost: "tasks lost",
   /** A worker's task list lacks attempts that it ran before. */
   TasksVanished: "tasks vanished",
+  /** Starts that were sent and not listed are not repeated: the worker gets a higher token, so that it rejects them. */
+  StartsRevoked: "starts revoked",
   /** A worker runs attempts for which no placement exists; they are stopped. */
   UnexpectedTasksReported: "unexpected tasks reported",
   /** An attempt ended with an error. */
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -8,19 +8,27 @@
 import type { HttpOutcome } from "../../transport/http.js";
 import { WORKER_REQUEST_TIMEOUT } from "../../transport/timeouts.js";
 import type { ShardContext } from "../context.js";
-import { fencingTokenOf, firstFencingToken, hasFencingSequencesLeft, responseTokenOf } from "../fencing-token.js";
+import {
+  fencingTokenOf,
+  firstFencingToken,
+  hasFencingSequencesLeft,
+  raiseFencingToken,
+  responseTokenOf,
+} from "../fencing-token.js";
 import { LogEvent } from "../log-events.js";
 import { decideEvictions } from "./graceful-eviction.js";
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
 import type { LongPolls } from "./long-polls.js";
 import { recordResponse, recordTimeout } from "./reachability.js";
-import { startableTasks } from "./start-commands.js";
+import { startableTasks, unfencedRevokedStarts } from "./start-commands.js";
 
 const RETRY_DELAY = ms(500);
 /** A request that fails sooner was refused a connection or not sent; one that fails later was lost. */
 const IMMEDIATE_FAILURE_TIME = ms(200);
 /** Commands in one request or response, to keep it well below the size limit of a body. */
 const MAX_COMMANDS = 200;
+/** Maximum number of revoked starts named in a log line. */
+const MAX_LOGGED_TASKS = 5;
 /** Added to half of the worker's lease, for a worker whose clock is slow. */
 const TOKEN_REPORT_MARGIN = ms(100);
 
@@ -84,8 +92,12 @@
     return commands;
   }
 
-  /** Starts for the response to a fenced heartbeat; each response repeats them until the worker lists the attempt. */
+  /**
+   * Starts for the response to a fenced heartbeat; each response repeats them until the worker lists the attempt. If a
+   * start sent before is not to be repeated, the response carries a token above it, which proves it lost.
+   */
   startsForResponse(machine: Machine): Command[] {
+    this.fenceRevokedStarts(machine);
     const tasks = startableTasks(this.context, machine, MAX_COMMANDS);
     if (tasks.length === 0) return [];
     const token = responseTokenOf(this.context.lease, machine);
@@ -94,6 +106,17 @@
     return tasks.map(startCommandOf);
   }
 
+  private fenceRevokedStarts(machine: Machine): void {
+    const { clock, lease, log } = this.context;
+    const revoked = unfencedRevokedStarts(lease, machine);
+    if (revoked.length === 0 || !this.hasTokensLeft(machine)) return;
+    raiseFencingToken(machine, clock.now());
+    log.info(LogEvent.StartsRevoked, {
+      machine: machine.name,
+      tasks: revoked.slice(0, MAX_LOGGED_TASKS).map(({ name }) => name),
+    });
+  }
+
   /** Whether there are stop commands, which cannot wait for the response to the next heartbeat. */
   hasUrgentCommands(machine: Machine): boolean {
     if (machine.reported.unexpectedTasks.size > 0) return true;
@@ -162,19 +185,24 @@
    * half of its lease; in between, starts wait for its next regular heartbeat. Returns whether the token was raised.
    */
   private raiseTokenForHeartbeat(machine: Machine): boolean {
-    const { clock, lease, log, settings } = this.context;
-    const { fencing } = machine;
-    if (clock.now() - fencing.tokenRaisedAt < settings.workers.lease / 2 + TOKEN_REPORT_MARGIN) return false;
-    if (!hasFencingSequencesLeft(machine)) {
-      log.info(LogEvent.FencingSequencesExhausted, { machine: machine.name, epoch: lease.epoch });
-      this.context.onInconsistent();
-      return false;
-    }
-    fencing.sequence += 1;
-    fencing.tokenRaisedAt = clock.now();
+    const { clock, settings } = this.context;
+    if (clock.now() - machine.fencing.tokenRaisedAt < settings.workers.lease / 2 + TOKEN_REPORT_MARGIN) return false;
+    if (!this.hasTokensLeft(machine)) return false;
+    raiseFencingToken(machine, clock.now());
     return true;
   }
 
+  /** Whether the machine's token may be raised; if not, the shard is reacquired under a new epoch. */
+  private hasTokensLeft(machine: Machine): boolean {
+    if (hasFencingSequencesLeft(machine)) return true;
+    this.context.log.info(LogEvent.FencingSequencesExhausted, {
+      machine: machine.name,
+      epoch: this.context.lease.epoch,
+    });
+    this.context.onInconsistent();
+    return false;
+  }
+
   private maySend(machine: Machine, probe: boolean): boolean {
     const { clock, lease } = this.context;
     if (machine.commands.inFlight || !lease.isValid()) return false;
--- a/src/coordination/workers/start-commands.ts
+++ b/src/coordination/workers/start-commands.ts
@@ -1,9 +1,12 @@
-/** Start commands of a machine's tasks: which ones the next response to its heartbeat carries. */
+/**
+ * Start commands of a machine's tasks: which ones the next response to its heartbeat carries, and which ones sent
+ * before are revoked.
+ */
 
 import { isBeingEmptied, type Machine } from "../../cluster/machine.js";
 import { isPlacementRecorded, type Task } from "../../cluster/task.js";
 import type { ShardContext, ShardLease } from "../context.js";
-import { firstFencingToken } from "../fencing-token.js";
+import { firstFencingToken, responseTokenOf } from "../fencing-token.js";
 
 /** The parts of the shard context on which it depends whether a task may be started. */
 export type StartContext = Pick<ShardContext, "shard" | "lease" | "mayStartTasks">;
@@ -35,12 +38,32 @@
   return tasks;
 };
 
-/** Whether a start command that was sent may still be executed and no response repeats it. */
+/**
+ * Whether a start command that was sent may still be executed and no response repeats it. What is repeated is listed in
+ * the end; a revoked start is proved lost only by a heartbeat under a token above its own (`unfencedRevokedStarts`).
+ */
 const isRevoked = ({ startCommand, job, stopRequest, machine }: Task): boolean => {
   if (startCommand.kind !== "uncertain" || machine === null) return false;
   return job.cancelled || stopRequest !== null || isBeingEmptied(machine);
 };
 
+/** Whether a task of the machine keeps its capacity only because its revoked start may still be executed. */
+export const hasRevokedStarts = ({ tasks }: Machine): boolean => {
+  for (const task of tasks) if (isRevoked(task)) return true;
+  return false;
+};
+
+/**
+ * The tasks whose revoked start the worker would not reject once it has the next response, since that would carry no
+ * higher token. The token is to be raised for them; once, as later responses carry the raised token too.
+ */
+export const unfencedRevokedStarts = (lease: ShardLease, machine: Machine): readonly Task[] => {
+  const responseToken = responseTokenOf(lease, machine);
+  return [...machine.tasks].filter(
+    (task) => isRevoked(task) && task.startCommand.kind === "uncertain" && task.startCommand.token >= responseToken,
+  );
+};
+
 /** Numbers of tasks that hold capacity while it is not known whether their worker has executed their start command. */
 export interface UncertainStartCounts {
   /** Their start command may still be executed. */
--- a/test/sim/event-orders.ts
+++ b/test/sim/event-orders.ts
@@ -6,7 +6,7 @@
 import { firstFencingToken, responseTokenOf } from "../../src/coordination/fencing-token.js";
 import { isStartAnswered } from "../../src/coordination/workers/answered-starts.js";
 import { CommandDispatcher } from "../../src/coordination/workers/command-dispatcher.js";
-import { mayBeOvertaken } from "../../src/coordination/workers/heartbeat-freshness.js";
+import { type HeartbeatFreshness, mayBeOvertaken } from "../../src/coordination/workers/heartbeat-freshness.js";
 import { HeartbeatProcessor } from "../../src/coordination/workers/heartbeat-processor.js";
 import { json } from "../../src/model/index.js";
 import type { Heartbeat, TaskStatus } from "../../src/protocol/worker.js";
@@ -16,6 +16,8 @@
 import { DirectStartDispatcher } from "./direct-start-dispatcher.js";
 
 const HEARTBEAT = { kind: "heartbeat" } as const;
+/** Heartbeats after which an undisturbed leader knows of every start whether it was executed. */
+const SETTLING_ROUNDS = 6;
 
 /** Resets the machine to its state at a new leader, which has only its name. */
 export const resetToUnknown = (machine: Machine): void => {
@@ -108,6 +110,9 @@
 /** The record of answered starts at a failover: always up to date, or none (after a leader of an older version). */
 export type AnsweredStartsOnRecord = "up to date" | "none";
 
+/** What becomes of a response to a heartbeat; `none`: nobody waits for it, as the heartbeat is a copy. */
+type ResponseFate = "delivered" | "lost" | "none";
+
 /** Which leaders start tasks by direct commands, as those of the previous version do. */
 export type DirectStarts = "none" | "first leader" | "all leaders";
 
@@ -194,11 +199,17 @@
     return { kind: "answer", retryAfterS: null, ...json(status, {}), body: encodeStatus(this.worker.report()) };
   }
 
-  private deliverHeartbeat(heartbeat: Heartbeat, answered: boolean): void {
+  /** `fate`: what becomes of the response. The leader builds it even if it is lost, and then counts starts as sent. */
+  private deliverHeartbeat(heartbeat: Heartbeat, fate: ResponseFate): void {
     const overtaken = mayBeOvertaken(this.machine.counters, this.machine.lease.expired, heartbeat);
     const freshness = this.heartbeats.process(this.machine, heartbeat, HEARTBEAT);
-    if (!answered || (freshness === "suspect" && !overtaken)) return;
-    // The response as the leader builds it: repeatable commands and forget commands, under one token.
+    if (fate === "none" || (freshness === "suspect" && !overtaken)) return;
+    const response = this.buildResponse(heartbeat, freshness);
+    if (fate === "delivered") this.worker.execute(response);
+  }
+
+  /** The response as the leader builds it: repeatable commands, forget commands and starts, under one token. */
+  private buildResponse(heartbeat: Heartbeat, freshness: HeartbeatFreshness): CommandRequest {
     const trusted =
       this.machine.counters.highestToken >= firstFencingToken(this.context.lease) && freshness !== "unverified";
     if (this.commands instanceof DirectStartDispatcher) this.beforeForget(this.commands, this.machine);
@@ -208,12 +219,33 @@
     // As in the leader, starts only in the response to a heartbeat that shows the leader's own token.
     const starts = freshness === "fenced" ? this.commands.startsForResponse(this.machine) : [];
     const verbs = { start: "launch", stop: "halt", forget: "forget" } as const;
-    const commands = [...own, ...starts].map(({ op, task }) => ({ verb: verbs[op], shard: task }));
-    this.worker.execute({
+    return {
       token: responseTokenOf(this.context.lease, this.machine),
       incarnation: Number(heartbeat.incarnation),
-      commands,
-    });
+      commands: [...own, ...starts].map(({ op, task }) => ({ verb: verbs[op], shard: task })),
+    };
+  }
+
+  /**
+   * Has the task's start revoked by `revoke`, then delivers all messages for a few heartbeats. Returns null if it is
+   * known by then whether the worker has executed the start; else a description of the task.
+   */
+  async settle(revoke: (task: Task, machine: Machine) => void): Promise<string | null> {
+    revoke(this.task, this.machine);
+    const { job, startCommand: startBefore } = this.task;
+    // As the job watcher does at a cancellation.
+    if (job.cancelled && startBefore.kind === "none") this.heartbeats.releaseAbsentTask(this.task);
+    this.requestOutcome = "ok";
+    for (let round = 0; round < SETTLING_ROUNDS; round += 1) {
+      await this.step("heartbeat");
+      this.commands.applyEvictions(this.machine);
+      await this.commands.send(this.machine);
+      await this.step("status query");
+    }
+    const { startCommand, machine } = this.task;
+    if (startCommand.kind === "uncertain") return `start still uncertain: ${JSON.stringify(startCommand)}`;
+    const isHeld = this.task.unansweredStartAt !== null;
+    return machine === null || isHeld || this.worker.isRunning ? null : "neither released nor running";
   }
 
   async step(action: Action): Promise<void> {
@@ -224,13 +256,13 @@
       case "heartbeat, response lost": {
         const heartbeat = worker.report();
         this.sentHeartbeats.push(heartbeat);
-        this.deliverHeartbeat(heartbeat, action === "heartbeat");
+        this.deliverHeartbeat(heartbeat, action === "heartbeat" ? "delivered" : "lost");
         break;
       }
       case "oldest copy":
       case "latest copy": {
         const heartbeat = action === "oldest copy" ? this.sentHeartbeats[0] : this.sentHeartbeats.at(-1);
-        if (heartbeat !== undefined) this.deliverHeartbeat(heartbeat, false);
+        if (heartbeat !== undefined) this.deliverHeartbeat(heartbeat, "none");
         break;
       }
       case "status query":
@@ -296,6 +328,7 @@
   ["heartbeat", "heartbeat", "command", "counters reset", "heartbeat", "heartbeat"],
   ["heartbeat", "heartbeat", "command delayed", "heartbeat", "command", "stop requested", "heartbeat"],
   ["heartbeat", "heartbeat", "command delayed", "incarnation changes", "heartbeat", "heartbeat"],
+  ["heartbeat", "heartbeat, response lost"],
 ];
 
 export const runOrder = async (scenario: Scenario, order: readonly Action[]): Promise<string | null> => {
@@ -309,10 +342,11 @@
   return null;
 };
 
-/** Runs every order of `eventCount` events after each of the prefixes, up to the first fault. */
+/** Runs every order of `eventCount` events after each of the prefixes and then `finish`, up to the first fault. */
 export const explore = async (
   eventCount: number,
   createScenario: () => Scenario,
+  finish: (scenario: Scenario) => Promise<string | null> = async () => null,
 ): Promise<{ runs: number; fault: string | null }> => {
   let runs = 0;
   const visit = async (path: readonly Action[], left: number): Promise<string | null> => {
@@ -324,7 +358,11 @@
       return null;
     }
     runs += 1;
-    return runOrder(createScenario(), path);
+    const scenario = createScenario();
+    const orderFault = await runOrder(scenario, path);
+    if (orderFault !== null) return orderFault;
+    const finalFault = await finish(scenario);
+    return finalFault === null ? null : `${path.join(", ")}: ${finalFault}`;
   };
   let fault: string | null = null;
   for (const path of PREFIXES) fault ??= await visit(path, eventCount);
