What becomes of all tasks of a machine at once is a module of its own

HeartbeatProcessor had 317 lines and did two jobs: conclude from one message, and decide for all tasks of a machine after a new incarnation, a counter reset, an expired lease or the machine's loss. Public methods of the processor stay.

--- a/src/coordination/workers/heartbeat-processor.ts
+++ b/src/coordination/workers/heartbeat-processor.ts
@@ -2,8 +2,7 @@
 
 import { eventFieldsOf } from "../../cluster/events.js";
 import type { Machine } from "../../cluster/machine.js";
-import { mayRelease, startMayBeInTransit, type Task } from "../../cluster/task.js";
-import type { Uint64 } from "../../protocol/json.js";
+import type { Task } from "../../cluster/task.js";
 import type { Heartbeat } from "../../protocol/worker.js";
 import { type Micros, seconds } from "../../transport/clock.js";
 
@@ -12,10 +11,10 @@
 import { LogEvent } from "../log-events.js";
 
 import { classifyHeartbeat, type HeartbeatFreshness, type HeartbeatSource } from "./heartbeat-freshness.js";
-import { markInheritedStartUnanswered } from "./inherited-starts.js";
 import { ReachabilityTracker } from "./reachability-tracker.js";
 import { TaskExitHandler, type TaskExitStateWriter } from "./task-exit-handler.js";
 import { TaskListReconciler } from "./task-list-reconciliation.js";
+import { TaskLossHandler } from "./task-loss-handler.js";
 
 /** Consecutive heartbeats that look older than the known counters before a status query is sent. */
 const MAX_SUSPECT_HEARTBEATS = 2;
@@ -38,16 +37,12 @@
   | "onTaskFailed"
 >;
 
-const clearReportedTasks = (machine: Machine): void => {
-  machine.reported.unexpectedTasks = new Map();
-  machine.reported.exitedTasks = new Map();
-};
-
 /** Concludes from workers' messages which tasks run on a machine, have exited, or are proved absent from it. */
 export class HeartbeatProcessor {
   private readonly reachability: ReachabilityTracker;
   private readonly taskExits: TaskExitHandler;
   private readonly taskLists: TaskListReconciler;
+  private readonly taskLosses: TaskLossHandler;
   private suspectCount = 0;
   private unverifiedCount = 0;
 
@@ -58,6 +53,7 @@
     this.reachability = new ReachabilityTracker(context);
     this.taskExits = new TaskExitHandler(context, taskStates);
     this.taskLists = new TaskListReconciler(context, this.taskExits);
+    this.taskLosses = new TaskLossHandler(context, this.taskExits);
   }
 
   /** Updates the machine as far as the message's freshness allows (coordination/workers/heartbeat-freshness.ts). */
@@ -77,7 +73,7 @@
         this.handleCounterReset(machine, heartbeat);
         return freshness;
       case "new-incarnation":
-        this.startNewIncarnation(machine, heartbeat);
+        this.taskLosses.handleNewIncarnation(machine, heartbeat.incarnation);
         break;
       case "verified":
       case "fenced":
@@ -189,38 +185,6 @@
     counters.learnedAt = this.context.clock.now();
   }
 
-  /**
-   * The earlier incarnation has ended, with all tasks started in it and all commands that name it. A start command
-   * still in flight would be executed if the worker's counters were reset later, so its task is started again on this
-   * machine.
-   */
-  private startNewIncarnation(machine: Machine, heartbeat: Heartbeat): void {
-    this.markInheritedStartsUnanswered(machine);
-    const startedTasks = [...machine.tasks].filter(({ startCommand }) => startCommand.kind !== "none");
-    this.context.log.info(LogEvent.WorkerIncarnationChanged, {
-      machine: machine.name,
-      session: heartbeat.incarnation,
-      tasks: startedTasks.length,
-    });
-    for (const task of startedTasks) {
-      if (mayRelease(task, this.context.clock.now())) this.taskExits.releaseAbsentTask(task);
-      else this.resetToUnstarted(task);
-    }
-    clearReportedTasks(machine);
-    if (machine.tasks.size > 0) this.context.scheduleCommands(machine);
-  }
-
-  private markInheritedStartsUnanswered(machine: Machine): void {
-    for (const task of machine.tasks) markInheritedStartUnanswered(this.context, task);
-  }
-
-  /** Marks the task as not running; it stays placed on its machine. */
-  private resetToUnstarted(task: Task): void {
-    task.startCommand = { kind: "none" };
-    this.context.shard.setReportedState(task, null);
-    task.runningSince = null;
-  }
-
   /**
    * The worker's counters were reset: nothing runs there, but earlier commands may still be delivered and executed,
    * since the incarnation number may repeat and any token is accepted. A higher token is therefore announced first, and
@@ -229,7 +193,7 @@
   private handleCounterReset(machine: Machine, heartbeat: Heartbeat): void {
     const { clock, lease, log } = this.context;
     log.info(LogEvent.WorkerCountersReset, { machine: machine.name, tasks: machine.tasks.size });
-    this.markStartsUncertain(machine);
+    this.taskLosses.handleCounterReset(machine);
     machine.fencing.sequence += 1;
     machine.counters.resetToken = fencingTokenOf(lease, machine);
     this.resetReachability(machine);
@@ -238,8 +202,6 @@
     machine.lease.renewedAt = clock.now();
     machine.counters.verified = false;
     machine.counters.suspectHeartbeats = 0;
-    machine.reported.taskListText = null;
-    clearReportedTasks(machine);
     machine.load.cachedImages.clear();
     this.copyCounters(machine, heartbeat);
     machine.address = heartbeat.address;
@@ -247,17 +209,6 @@
     this.context.announceFencingToken(machine);
   }
 
-  private markStartsUncertain(machine: Machine): void {
-    this.markInheritedStartsUnanswered(machine);
-    const token: Uint64 = fencingTokenOf(this.context.lease, machine);
-    for (const task of machine.tasks) {
-      if (task.startCommand.kind === "none") continue;
-      task.startCommand = { kind: "uncertain", token };
-      this.context.shard.setReportedState(task, null);
-      task.runningSince = null;
-    }
-  }
-
   private resetReachability({ reachability }: Machine): void {
     reachability.consecutiveTimeouts = 0;
     reachability.probeToken = null;
@@ -278,36 +229,14 @@
     return this.taskExits.takeFailureCounts();
   }
 
-  /** Releases all tasks of a machine that no longer exists; commands sent to it can no longer be delivered. */
+  /** Releases all tasks of a machine that no longer exists (`TaskLossHandler.handleMachineLoss`). */
   handleMachineLoss(machine: Machine, why: string): void {
-    this.logLostTasks(machine, [...machine.tasks], why);
-    for (const task of [...machine.tasks]) {
-      task.unansweredStartAt = null;
-      this.taskExits.releaseAbsentTask(task);
-    }
-    machine.reported.taskListText = null;
-    clearReportedTasks(machine);
+    this.taskLosses.handleMachineLoss(machine, why);
   }
 
-  /**
-   * The worker's lease has expired, so all its tasks have ended. The machine may return with its counters reset, so a
-   * task whose start command may still be delivered stays assigned to it until the machine is deleted, or sends
-   * heartbeats again and starts the task.
-   */
+  /** The worker's lease has expired, so all its tasks have ended (`TaskLossHandler.handleLeaseExpiry`). */
   handleLeaseExpiry(machine: Machine, why: string): void {
-    this.markInheritedStartsUnanswered(machine);
-    const now = this.context.clock.now();
-    const gone = [...machine.tasks].filter((task) => !startMayBeInTransit(task, now));
-    this.logLostTasks(machine, gone, why);
-    for (const task of gone) this.taskExits.releaseAbsentTask(task);
-    for (const task of machine.tasks) this.resetToUnstarted(task);
-    machine.reported.taskListText = null;
-    clearReportedTasks(machine);
-  }
-
-  private logLostTasks(machine: Machine, tasks: readonly Task[], why: string): void {
-    if (tasks.length > 0)
-      this.context.log.info(LogEvent.TasksLost, { machine: machine.name, why, tasks: tasks.length });
+    this.taskLosses.handleLeaseExpiry(machine, why);
   }
 
   /** Releases a task that is proved absent from its machine. */
