--- a/test/revoked-starts.test.ts
+++ b/test/revoked-starts.test.ts
@@ -16,6 +16,8 @@
 
 const HEARTBEAT = { kind: "heartbeat" } as const;
 const FIRST_TOKEN = 65_536;
+/** Events per order; RAINRIDGE_DEPTH=4 explores deeper in a manual run. */
+const DEPTH = Number(process.env.RAINRIDGE_DEPTH ?? 3);
 
 /** The ways in which a start command that was sent comes not to be repeated. */
 const REVOCATIONS: Readonly<Record<string, (task: Task, machine: Machine) => void>> = {
@@ -94,14 +96,14 @@
   });
 
   // Guards against a leader that knows of no token above that of a lost start, whatever the messages before were.
-  test(`after every order of three events it is soon known whether a start was executed if ${way}`, async () => {
+  test(`after every order of ${DEPTH} events it is soon known whether a start was executed if ${way}`, async () => {
     const { runs, fault } = await explore(
-      3,
+      DEPTH,
       () => new Scenario(),
       (scenario) => scenario.settle(revoke),
     );
     assert.equal(fault, null);
-    assert.equal(runs, PREFIXES.length * ACTIONS.length ** 3);
+    assert.equal(runs, PREFIXES.length * ACTIONS.length ** DEPTH);
   });
 }
 
--- a/test/sim/event-orders.ts
+++ b/test/sim/event-orders.ts
@@ -9,11 +9,12 @@
 import { type HeartbeatFreshness, mayBeOvertaken } from "../../src/coordination/workers/heartbeat-freshness.js";
 import { HeartbeatProcessor } from "../../src/coordination/workers/heartbeat-processor.js";
 import { json } from "../../src/model/index.js";
-import type { Heartbeat, TaskStatus } from "../../src/protocol/worker.js";
+import type { Heartbeat } from "../../src/protocol/worker.js";
 import type { Micros } from "../../src/transport/clock.js";
 import type { HttpOutcome } from "../../src/transport/http.js";
-import { makeHeartbeat, makeShard, placeTask } from "../shard-fixtures.js";
+import { makeShard, placeTask } from "../shard-fixtures.js";
 import { DirectStartDispatcher } from "./direct-start-dispatcher.js";
+import { type CommandRequest, encodeStatus, WorkerModel } from "./worker-model.js";
 
 const HEARTBEAT = { kind: "heartbeat" } as const;
 /** Heartbeats after which an undisturbed leader knows of every start whether it was executed. */
@@ -43,62 +44,6 @@
 ] as const;
 export type Action = (typeof ACTIONS)[number];
 
-interface CommandRequest {
-  readonly token: number;
-  readonly incarnation: number;
-  readonly commands: readonly { readonly verb: string; readonly shard: string }[];
-}
-
-/** A minimal worker: incarnation, sequence, fencing token and attempts, as the protocol defines them. */
-class WorkerModel {
-  incarnation = 1;
-  sequence = 0;
-  token = 0;
-  /** Its attempts by task; a stopped one is kept until a forget command. */
-  readonly attempts = new Map<string, "running" | "exited">();
-
-  get isRunning(): boolean {
-    return [...this.attempts.values()].includes("running");
-  }
-
-  report(): Heartbeat {
-    this.sequence += 1;
-    const tasks = [...this.attempts].map(([task, state]): TaskStatus => {
-      return { task, attempt: 1, state, reason: state === "exited" ? "stopped" : null };
-    });
-    return makeHeartbeat({ incarnation: this.incarnation, sequence: this.sequence, token: this.token, tasks });
-  }
-
-  execute(request: CommandRequest): boolean {
-    if (request.token < this.token || request.incarnation !== this.incarnation) return false;
-    this.token = request.token;
-    for (const { verb, shard } of request.commands) {
-      const state = this.attempts.get(shard);
-      if (verb === "launch" && state === undefined) this.attempts.set(shard, "running");
-      if (verb === "halt" && state === "running") this.attempts.set(shard, "exited");
-      if (verb === "forget" && state === "exited") this.attempts.delete(shard);
-    }
-    return true;
-  }
-}
-
-const encodeStatus = (heartbeat: Heartbeat): string =>
-  JSON.stringify({
-    host: heartbeat.machine,
-    addr: heartbeat.address,
-    flavor: heartbeat.type,
-    area: heartbeat.zone,
-    tenure: heartbeat.incarnation,
-    tick: heartbeat.sequence,
-    baton: heartbeat.token,
-    shards: heartbeat.tasks.map(({ task, attempt, state }) => ({
-      shard: task,
-      try: attempt,
-      phase: state,
-      ...(state === "exited" ? { cause: "halted" } : {}),
-    })),
-  });
-
 /** Which starts may be delivered after a counter reset that followed the release of their task. */
 export interface LateStarts {
   /** Those of an earlier leader without a response. */
