--- a/src/coordination/leadership/leader-checks.ts
+++ b/src/coordination/leadership/leader-checks.ts
@@ -11,6 +11,7 @@
 import type { FailureDetector } from "../workers/failure-detector.js";
 import type { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
 import { countUncertainStarts } from "../workers/start-commands.js";
+import type { WorkerLeaseExpiry } from "../workers/worker-lease-expiry.js";
 import type { MachineTypeRefresher } from "./machine-type-refresher.js";
 
 const CHECK_INTERVAL = ms(250);
@@ -22,6 +23,7 @@
 export interface LeaderChecksDependencies {
   readonly context: ShardContext;
   readonly failureDetector: FailureDetector;
+  readonly workerLeaseExpiry: WorkerLeaseExpiry;
   readonly commands: CommandDispatcher;
   readonly machineTypeRefresher: MachineTypeRefresher;
   readonly backpressure: BackpressureSignal;
@@ -98,8 +100,8 @@
   }
 
   private checkMachines(): void {
-    const { context, failureDetector, commands } = this.dependencies;
-    failureDetector.expireLeases();
+    const { context, failureDetector, workerLeaseExpiry, commands } = this.dependencies;
+    workerLeaseExpiry.expireLeases();
     failureDetector.checkSilence();
     for (const machine of context.shard.machines.values()) commands.applyEvictions(machine);
   }
--- a/src/coordination/leadership/shard-collaborators.ts
+++ b/src/coordination/leadership/shard-collaborators.ts
@@ -21,6 +21,7 @@
 import { LongPolls } from "../workers/long-polls.js";
 import { StatusQueryQueue } from "../workers/status-query-queue.js";
 import { UnreachableZones } from "../workers/unreachable-zones.js";
+import { WorkerLeaseExpiry } from "../workers/worker-lease-expiry.js";
 import { createFailureGuard, type FailureGuard } from "./failure-guard.js";
 import { HeartbeatResponder } from "./heartbeat-responder.js";
 import { LeaderChecks } from "./leader-checks.js";
@@ -101,12 +102,12 @@
   const failureDetector = new FailureDetector({
     context,
     commands,
-    heartbeats,
     autoscaler,
     unreachableZones,
     guard,
     onUnreachable: () => options.events.onUnreachable(),
   });
+  const workerLeaseExpiry = new WorkerLeaseExpiry({ context, heartbeats, unreachableZones });
   const statusQueries = new StatusQueryQueue({
     loadShedder: services.loadShedder,
     lease,
@@ -131,6 +132,7 @@
   const machineTypeRefresher = new MachineTypeRefresher({ context, cloud, machineTypes, guard });
   const checkCollaborators = {
     failureDetector,
+    workerLeaseExpiry,
     commands,
     machineTypeRefresher,
     backpressure,
--- a/src/coordination/workers/failure-detector.ts
+++ b/src/coordination/workers/failure-detector.ts
@@ -13,7 +13,6 @@
   UNREACHABLE_PROBE_INTERVAL,
   workerFailoverTime,
 } from "./detection-timeouts.js";
-import type { HeartbeatProcessor } from "./heartbeat-processor.js";
 import { isReachable } from "./reachability.js";
 import { UnreachableMachineRemoval } from "./unreachable-machine-removal.js";
 import type { UnreachableZones } from "./unreachable-zones.js";
@@ -33,20 +32,12 @@
 const CACHE_STALENESS_LIMIT = seconds(3);
 /** Maximum probes in one check: probing a whole zone at once would use up all connections. */
 const MAX_PROBES = 64;
-/** Maximum factor by which a worker's clock may run slower than this one. */
-const MAX_CLOCK_DRIFT = 1.002;
-/** Time after the end of a worker's lease until its tasks have certainly ended. */
-const LEASE_EXPIRY_MARGIN = seconds(0.5);
-/** Logged as the reason of lost tasks; tools and tests match this text. */
-const LEASE_EXPIRY_REASON = "worker lease over";
-
 /** The detector's dependencies on its shard and its collaborators. */
 export interface FailureDetectorDependencies {
   readonly context: ShardContext;
   readonly commands: Pick<CommandDispatcher, "queryStatus" | "send">;
-  readonly heartbeats: Pick<HeartbeatProcessor, "handleLeaseExpiry">;
   readonly autoscaler: Pick<Autoscaler, "deleteMachines" | "unreachableZones">;
-  readonly unreachableZones: Pick<UnreachableZones, "unansweredSince" | "markUnreachable">;
+  readonly unreachableZones: Pick<UnreachableZones, "markUnreachable">;
   readonly guard: (work: Promise<unknown>) => Promise<void>;
   /** Gives up leadership: another controller may be able to reach the machines that this one cannot. */
   readonly onUnreachable: () => Promise<void>;
@@ -120,36 +111,6 @@
       this.settledAt = Math.max(this.settledAt, repliesDueAt) as Micros;
   }
 
-  /** Expires the leases of workers that were not renewed in time: such a worker has ended all its tasks by itself. */
-  expireLeases(): void {
-    const { clock, settings, shard } = this.dependencies.context;
-    const expiryTime = Math.ceil(settings.workers.lease * MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN;
-    const now = clock.now();
-    for (const machine of shard.machines.values()) {
-      if (machine.counters.incarnation === null) this.applyInheritedLeaseRenewal(machine);
-      if (machine.lease.expired) {
-        // The response to a start command that was in flight may have added a task since the expiry.
-        if (machine.tasks.size > 0) this.dependencies.heartbeats.handleLeaseExpiry(machine, LEASE_EXPIRY_REASON);
-        continue;
-      }
-      if (now - machine.lease.renewedAt <= expiryTime) continue;
-      machine.lease.expired = true;
-      // A late heartbeat of the expired incarnation must not restore its tasks in the shard's state.
-      if (machine.counters.incarnation !== null) machine.counters.expiredIncarnation = machine.counters.incarnation;
-      this.dependencies.heartbeats.handleLeaseExpiry(machine, LEASE_EXPIRY_REASON);
-    }
-  }
-
-  /**
-   * For a machine without a heartbeat to this leader, limits the time of its last lease renewal to the one recorded by
-   * the previous leader.
-   */
-  private applyInheritedLeaseRenewal(machine: Machine): void {
-    const latestRenewalAt = this.dependencies.unreachableZones.unansweredSince(machine.zone);
-    if (latestRenewalAt !== null && latestRenewalAt < machine.lease.renewedAt)
-      machine.lease.renewedAt = latestRenewalAt;
-  }
-
   /**
    * Probes machines that miss heartbeats and deletes those that do not reply: the cloud's confirmation of the deletion
    * proves that their tasks have ended much earlier than the expiry of the lease does.
--- a/test/failure-detector.test.ts
+++ b/test/failure-detector.test.ts
@@ -18,8 +18,7 @@
     context,
     autoscaler,
     commands: { queryStatus: async () => undefined, send: async () => undefined },
-    heartbeats: { handleLeaseExpiry: noop },
-    unreachableZones: { unansweredSince: () => null, markUnreachable: noop },
+    unreachableZones: { markUnreachable: noop },
     guard: async () => undefined,
     onUnreachable: async () => undefined,
   });
