--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,7 +3,7 @@
 import { S } from "../src/model/index.js";
 import { Random } from "./random.js";
 import { Cluster, plainJob } from "./sim/cluster.js";
-import { BUSY_PERIOD, LONGEST_FAULT, randomDay } from "./sim/random-day.js";
+import { BUSY_PERIOD, type DayLimits, LONGEST_FAULT, randomDay } from "./sim/random-day.js";
 
 /** Number of random days; manual runs use many more: RAINRIDGE_SEEDS=1000 (docs/results.md). */
 const SEEDS = Number(process.env.RAINRIDGE_SEEDS ?? 24);
@@ -23,8 +23,11 @@
  */
 const CHAINS = Number(process.env.RAINRIDGE_CHAINS ?? 5);
 
-const runDay = async (seed: number): Promise<void> => {
-  const cluster = randomDay(seed, { chains: CHAINS, harshFaults: HARSH_FAULTS, combinations: COMBINATIONS });
+const runDay = async (
+  seed: number,
+  limits: DayLimits = { chains: CHAINS, harshFaults: HARSH_FAULTS, combinations: COMBINATIONS },
+): Promise<void> => {
+  const cluster = randomDay(seed, limits);
   await cluster.run(BUSY_PERIOD);
   await cluster.run(LONGEST_FAULT);
   cluster.checker.faultsEndedAt = cluster.world.now;
@@ -44,6 +47,11 @@
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed += 1) await runDay(seed);
 });
 
+// Guards against a gang that waits for ever because the replicas in its zone are spread over one machine too many.
+test("a gang starts where its zone has enough machines once replicas are moved together (random day 7172)", async () => {
+  await runDay(7_172, { chains: 5, harshFaults: 8, combinations: 5 });
+});
+
 /** Changes the settings to those of a deployment with several hundred machines. */
 const withLargeSettings = (text: string): string =>
   text
