HeartbeatResponder.respond reads as its steps

It had 14 branches in one function: classifying the heartbeat, renewing the lease and collecting the commands are a method each, and that the commands come before the token is read is said where it matters.

--- a/src/coordination/leadership/heartbeat-responder.ts
+++ b/src/coordination/leadership/heartbeat-responder.ts
@@ -48,13 +48,11 @@
    * response may be held back as a long poll until a task is to be started (`longPollTime`).
    */
   async respond(heartbeat: Heartbeat, mayWait: boolean): Promise<HeartbeatReply | null> {
-    const { context, heartbeats } = this.dependencies;
     if (!this.mayRespondTo(heartbeat)) return null;
     const machine = this.machineOf(heartbeat);
     if (this.isInUnreachableZone(machine)) return null;
-    const overtaken = mayBeOvertaken(machine.counters, machine.lease.expired, heartbeat);
-    const freshness = heartbeats.process(machine, heartbeat, FROM_HEARTBEAT);
-    if (freshness === "suspect" && !overtaken) return null;
+    const freshness = this.process(machine, heartbeat);
+    if (freshness === null) return null;
     const permitted = this.permittedFor(machine, freshness);
     this.scheduleMessages(machine, permitted);
     if (!permitted.renew) return null;
@@ -63,14 +61,10 @@
       await this.waitForStarts(machine, waitTime);
       if (!this.mayRespondTo(heartbeat) || !this.dependencies.unreachableZones.mayRespond(machine.zone)) return null;
     }
-    machine.lease.renewedAt = context.clock.now();
-    machine.lease.respondedAt = machine.lease.renewedAt;
-    machine.lease.expired = false;
-    if (machine.reachability.probeToken !== null) this.verifyProbe(machine);
-    const responseCommands = this.commandsFor(machine, heartbeat, permitted);
-    if (permitted.command && freshness === "fenced")
-      responseCommands.push(...this.dependencies.commands.startsForResponse(machine));
-    return { token: responseTokenOf(context.lease, machine), commands: responseCommands };
+    this.renewLease(machine);
+    // Before the token is read: a start that is not to be repeated raises it.
+    const commands = this.commandsFor(machine, heartbeat, permitted, freshness);
+    return { token: responseTokenOf(this.dependencies.context.lease, machine), commands };
   }
 
   private mayRespondTo(heartbeat: Heartbeat): boolean {
@@ -78,6 +72,20 @@
     return !state.stopped && context.lease.isValid() && !context.shard.deletedMachines.has(heartbeat.machine);
   }
 
+  /** Null: the heartbeat looks older than what is known, and its worker does not wait for a response. */
+  private process(machine: Machine, heartbeat: Heartbeat): HeartbeatFreshness | null {
+    const overtaken = mayBeOvertaken(machine.counters, machine.lease.expired, heartbeat);
+    const freshness = this.dependencies.heartbeats.process(machine, heartbeat, FROM_HEARTBEAT);
+    return freshness === "suspect" && !overtaken ? null : freshness;
+  }
+
+  private renewLease(machine: Machine): void {
+    machine.lease.renewedAt = this.dependencies.context.clock.now();
+    machine.lease.respondedAt = machine.lease.renewedAt;
+    machine.lease.expired = false;
+    if (machine.reachability.probeToken !== null) this.verifyProbe(machine);
+  }
+
   /** Extends the long poll if a task was placed during it whose placement is not recorded yet. */
   private async waitForStarts(machine: Machine, waitTime: Micros): Promise<void> {
     const { context, longPolls } = this.dependencies;
@@ -139,12 +147,18 @@
     });
   }
 
-  private commandsFor(machine: Machine, heartbeat: Heartbeat, permitted: PermittedReplies): Command[] {
+  /** Starts only in the response to a heartbeat that shows a token which only this leader can have given. */
+  private commandsFor(
+    machine: Machine,
+    heartbeat: Heartbeat,
+    permitted: PermittedReplies,
+    freshness: HeartbeatFreshness,
+  ): readonly Command[] {
     const { context, commands } = this.dependencies;
     const stops = pendingStops(heartbeat.tasks, context.shard.jobs);
-    return permitted.command
-      ? [...commands.repeatableCommands(machine, stops), ...commands.forgetCommands(machine)]
-      : [...stops];
+    if (!permitted.command) return stops;
+    const repeatable = [...commands.repeatableCommands(machine, stops), ...commands.forgetCommands(machine)];
+    return freshness === "fenced" ? [...repeatable, ...commands.startsForResponse(machine)] : repeatable;
   }
 
   private machineOf(heartbeat: Heartbeat): Machine {
--- a/test/sim/lost-starts.ts
+++ b/test/sim/lost-starts.ts
@@ -20,18 +20,18 @@
  * loss.
  */
 export const loseStarts = (
-  c: Cluster,
+  cluster: Cluster,
   forUs: number,
   choose: (job: string) => boolean,
   onLost: (job: string, machine: string) => void,
 ): LostStarts => {
   const lost = new Map<string, number>();
-  const until = c.world.now + forUs;
-  c.network.tamper = (worker, _, request, response) => {
-    if (c.world.now >= until || request.target !== "/hello" || response.status !== 200) return response;
+  const until = cluster.world.now + forUs;
+  cluster.network.tamper = (worker, _, request, response) => {
+    if (cluster.world.now >= until || request.target !== "/hello" || response.status !== 200) return response;
     const jobs = jobsStartedBy(response.body).filter(choose);
     if (jobs.length === 0) return response;
-    c.site.cutMachine(worker, RESET_TIME, "reset");
+    cluster.site.cutMachine(worker, RESET_TIME, "reset");
     for (const job of jobs) {
       lost.set(job, (lost.get(job) ?? 0) + 1);
       onLost(job, worker);
@@ -42,8 +42,10 @@
 };
 
 /** The numbers of uncertain and revoked starts in the leader's latest summary; null: none was logged yet. */
-export const latestStartCounts = (c: Cluster): { readonly uncertain: number; readonly revoked: number } | null => {
-  const summary = c.log.filter((line) => line.includes(" capacity summarized ")).at(-1);
+export const latestStartCounts = (
+  cluster: Cluster,
+): { readonly uncertain: number; readonly revoked: number } | null => {
+  const summary = cluster.log.filter((line) => line.includes(" capacity summarized ")).at(-1);
   const counts = /"starts":(\{[^}]*\})/.exec(summary ?? "")?.[1];
   return counts === undefined ? null : JSON.parse(counts);
 };
