The exploration's actions are a table, each action a method

Scenario.step was a switch of 68 lines. What each event does is one method now, and what is checked after every event is three lines. Nothing of what an action does has changed.

--- a/test/sim/event-orders.ts
+++ b/test/sim/event-orders.ts
@@ -17,6 +17,8 @@
 import { type CommandRequest, encodeStatus, WorkerModel } from "./worker-model.js";
 
 const HEARTBEAT = { kind: "heartbeat" } as const;
+/** From one event to the next, in microseconds. */
+const STEP_TIME = 2_000_000;
 /** Heartbeats after which an undisturbed leader knows of every start whether it was executed. */
 const SETTLING_ROUNDS = 6;
 
@@ -55,6 +57,9 @@
 /** The record of answered starts at a failover: always up to date, or none (after a leader of an older version). */
 export type AnsweredStartsOnRecord = "up to date" | "none";
 
+/** What becomes of a command request and of the reply to it. */
+type RequestOutcome = "ok" | "reply lost" | "delayed";
+
 /** What becomes of a response to a heartbeat; `none`: nobody waits for it, as the heartbeat is a copy. */
 type ResponseFate = "delivered" | "lost" | "none";
 
@@ -69,12 +74,30 @@
 
 /** Runs one order of events through the production code for heartbeats, task lists and commands. */
 export class Scenario {
+  /** What each action does; one table for all scenarios, of which explorations create hundreds of thousands. */
+  private static readonly HANDLERS: Readonly<Record<Action, (scenario: Scenario) => void | Promise<void>>> = {
+    heartbeat: (scenario) => scenario.sendHeartbeat("delivered"),
+    "heartbeat, response lost": (scenario) => scenario.sendHeartbeat("lost"),
+    "oldest copy": (scenario) => scenario.deliverCopy(scenario.sentHeartbeats[0]),
+    "latest copy": (scenario) => scenario.deliverCopy(scenario.sentHeartbeats.at(-1)),
+    "status query": (scenario) => scenario.queryStatus(),
+    command: (scenario) => scenario.sendCommand("ok"),
+    "command, reply lost": (scenario) => scenario.sendCommand("reply lost"),
+    "command delayed": (scenario) => scenario.sendCommand("delayed"),
+    "delayed command delivered": (scenario) => scenario.deliverDelayedCommand(),
+    "command repeated": (scenario) => scenario.repeatCommand(),
+    "stop requested": (scenario) => scenario.requestStop(),
+    "incarnation changes": (scenario) => scenario.changeIncarnation(),
+    "counters reset": (scenario) => scenario.resetCounters(),
+    failover: (scenario) => scenario.failOver(),
+  };
+
   readonly worker = new WorkerModel();
   private readonly sentHeartbeats: Heartbeat[] = [];
   private readonly delayedRequests: CommandRequest[] = [];
   private lastExecutedRequest: CommandRequest | null = null;
   private epoch = 0;
-  private requestOutcome: "ok" | "reply lost" | "delayed" = "ok";
+  private requestOutcome: RequestOutcome = "ok";
   private now = 0;
   private context!: ShardContext;
   private machine!: Machine;
@@ -194,72 +217,81 @@
   }
 
   async step(action: Action): Promise<void> {
-    this.now += 2_000_000;
-    const { worker } = this;
-    switch (action) {
-      case "heartbeat":
-      case "heartbeat, response lost": {
-        const heartbeat = worker.report();
-        this.sentHeartbeats.push(heartbeat);
-        this.deliverHeartbeat(heartbeat, action === "heartbeat" ? "delivered" : "lost");
-        break;
-      }
-      case "oldest copy":
-      case "latest copy": {
-        const heartbeat = action === "oldest copy" ? this.sentHeartbeats[0] : this.sentHeartbeats.at(-1);
-        if (heartbeat !== undefined) this.deliverHeartbeat(heartbeat, "none");
-        break;
-      }
-      case "status query":
-        this.requestOutcome = "ok";
-        await this.commands.queryStatus(this.machine);
-        break;
-      case "command":
-      case "command, reply lost":
-      case "command delayed":
-        this.requestOutcome = action === "command" ? "ok" : action === "command delayed" ? "delayed" : "reply lost";
-        await this.commands.send(this.machine, true);
-        break;
-      case "delayed command delivered": {
-        const request = this.delayedRequests.shift();
-        if (request !== undefined) worker.execute(request);
-        break;
-      }
-      case "command repeated":
-        if (this.lastExecutedRequest !== null) worker.execute(this.lastExecutedRequest);
-        break;
-      case "incarnation changes":
-        worker.incarnation += 1;
-        worker.attempts.clear();
-        break;
-      case "stop requested":
-        if (this.task.machine !== null) this.task.stopRequest = { graceS: 0 };
-        break;
-      case "counters reset":
-        Object.assign(worker, { incarnation: 1, sequence: 0, token: 0 });
-        worker.attempts.clear();
-        // A task released earlier cannot be fenced against a later counter reset (docs/heartbeat-evidence.md). A start
-        // without a response prevents the release of its task, whichever leader sent it. Copies of answered starts are
-        // assumed not to be delivered any more; tests with `LateStarts.answered` drop this assumption.
-        if (this.released && this.epoch > 1 && !this.lateStarts.inherited) this.delayedRequests.length = 0;
-        if (this.released && !this.lateStarts.answered) this.lastExecutedRequest = null;
-        break;
-      case "failover": {
-        this.startLeader({ kind: "uncertain", token: firstFencingToken(this.context.lease) + 65_535 });
-        if (this.answeredOnRecord) this.context.shard.markStartsAnswered(this.task);
-      }
-    }
-    if (this.onRecord === "up to date" && isStartAnswered(this.task, this.now as Micros)) {
-      this.context.shard.markStartsAnswered(this.task);
-      this.answeredOnRecord = true;
-    }
-    if (this.task.machine === null && this.task.earliestStart <= this.now) {
-      this.released = true;
-      // The release is recorded before the task is started elsewhere.
-      this.task.recorded = this.task.desired;
-    }
+    this.now += STEP_TIME;
+    const done = Scenario.HANDLERS[action](this);
+    if (done !== undefined) await done;
+    this.recordAnsweredStart();
+    this.recordRelease();
     // Once released it is started elsewhere: from then on it must not run here, whatever is still delivered.
-    if (this.released && worker.isRunning) throw new Error("runs on a machine that it was released from");
+    if (this.released && this.worker.isRunning) throw new Error("runs on a machine that it was released from");
+  }
+
+  private sendHeartbeat(fate: ResponseFate): void {
+    const heartbeat = this.worker.report();
+    this.sentHeartbeats.push(heartbeat);
+    this.deliverHeartbeat(heartbeat, fate);
+  }
+
+  private deliverCopy(heartbeat: Heartbeat | undefined): void {
+    if (heartbeat !== undefined) this.deliverHeartbeat(heartbeat, "none");
+  }
+
+  private queryStatus(): Promise<void> {
+    this.requestOutcome = "ok";
+    return this.commands.queryStatus(this.machine);
+  }
+
+  private sendCommand(outcome: RequestOutcome): Promise<void> {
+    this.requestOutcome = outcome;
+    return this.commands.send(this.machine, true);
+  }
+
+  private deliverDelayedCommand(): void {
+    const request = this.delayedRequests.shift();
+    if (request !== undefined) this.worker.execute(request);
+  }
+
+  private repeatCommand(): void {
+    if (this.lastExecutedRequest !== null) this.worker.execute(this.lastExecutedRequest);
+  }
+
+  private changeIncarnation(): void {
+    this.worker.incarnation += 1;
+    this.worker.attempts.clear();
+  }
+
+  private requestStop(): void {
+    if (this.task.machine !== null) this.task.stopRequest = { graceS: 0 };
+  }
+
+  /**
+   * A task released earlier cannot be fenced against a later counter reset (docs/heartbeat-evidence.md). A start without
+   * a response prevents the release of its task, whichever leader sent it. Copies of answered starts are assumed not to
+   * be delivered any more; tests with `LateStarts.answered` drop this assumption.
+   */
+  private resetCounters(): void {
+    Object.assign(this.worker, { incarnation: 1, sequence: 0, token: 0 });
+    this.worker.attempts.clear();
+    if (this.released && this.epoch > 1 && !this.lateStarts.inherited) this.delayedRequests.length = 0;
+    if (this.released && !this.lateStarts.answered) this.lastExecutedRequest = null;
+  }
+
+  private failOver(): void {
+    this.startLeader({ kind: "uncertain", token: firstFencingToken(this.context.lease) + 65_535 });
+    if (this.answeredOnRecord) this.context.shard.markStartsAnswered(this.task);
+  }
+
+  private recordAnsweredStart(): void {
+    if (this.onRecord !== "up to date" || !isStartAnswered(this.task, this.now as Micros)) return;
+    this.context.shard.markStartsAnswered(this.task);
+    this.answeredOnRecord = true;
+  }
+
+  /** The release is recorded before the task is started elsewhere. */
+  private recordRelease(): void {
+    if (this.task.machine !== null || this.task.earliestStart > this.now) return;
+    this.released = true;
+    this.task.recorded = this.task.desired;
   }
 }
 
