Raising a token stands once, and a revoked start is asked for its token

Found by reading the change again. Whether a start is revoked was asked twice per task, and its kind a third time for the type checker's sake: the question answers with the token now, in one walk. The most tasks that a log line names stood in two modules. Two needless type annotations go.

--- a/src/coordination/fencing-token.ts
+++ b/src/coordination/fencing-token.ts
@@ -3,7 +3,6 @@
  * machine. A worker rejects commands with a lower token than the highest it has seen.
  */
 import type { Machine } from "../cluster/machine.js";
-import type { Micros } from "../transport/clock.js";
 import { RainridgeError } from "../transport/errors.js";
 import type { ShardLease } from "./context.js";
 
@@ -47,12 +46,6 @@
 export const hasFencingSequencesLeft = (machine: Machine): boolean =>
   machine.fencing.sequence < FENCING_SEQUENCES - RESERVED_SEQUENCES;
 
-/** Raises the token of the machine's next commands and responses, which the worker reports once it has seen it. */
-export const raiseFencingToken = ({ fencing }: Machine, now: Micros): void => {
-  fencing.sequence += 1;
-  fencing.tokenRaisedAt = now;
-};
-
 /** The epoch of the lease under which the token was issued; below 1: no leader issued it. */
 export const epochOfToken = (token: number): number => Math.floor(token / FENCING_SEQUENCES);
 
--- a/src/coordination/log-events.ts
+++ b/src/coordination/log-events.ts
@@ -126,3 +126,6 @@
 
 /** The text of a log event. */
 export type LogEventText = (typeof LogEvent)[keyof typeof LogEvent];
+
+/** Maximum number of tasks named in one log line. */
+export const MAX_LOGGED_TASKS = 5;
--- a/src/coordination/workers/command-dispatcher.ts
+++ b/src/coordination/workers/command-dispatcher.ts
@@ -8,14 +8,8 @@
 import type { HttpOutcome } from "../../transport/http.js";
 import { WORKER_REQUEST_TIMEOUT } from "../../transport/timeouts.js";
 import type { ShardContext } from "../context.js";
-import {
-  fencingTokenOf,
-  firstFencingToken,
-  hasFencingSequencesLeft,
-  raiseFencingToken,
-  responseTokenOf,
-} from "../fencing-token.js";
-import { LogEvent } from "../log-events.js";
+import { fencingTokenOf, firstFencingToken, hasFencingSequencesLeft, responseTokenOf } from "../fencing-token.js";
+import { LogEvent, MAX_LOGGED_TASKS } from "../log-events.js";
 import { decideEvictions } from "./graceful-eviction.js";
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
 import type { LongPolls } from "./long-polls.js";
@@ -27,8 +21,6 @@
 const IMMEDIATE_FAILURE_TIME = ms(200);
 /** Commands in one request or response, to keep it well below the size limit of a body. */
 const MAX_COMMANDS = 200;
-/** Maximum number of revoked starts named in a log line. */
-const MAX_LOGGED_TASKS = 5;
 /** Added to half of the worker's lease, for a worker whose clock is slow. */
 const TOKEN_REPORT_MARGIN = ms(100);
 
@@ -107,10 +99,9 @@
   }
 
   private fenceRevokedStarts(machine: Machine): void {
-    const { clock, lease, log } = this.context;
+    const { lease, log } = this.context;
     const revoked = unfencedRevokedStarts(lease, machine);
-    if (revoked.length === 0 || !this.hasTokensLeft(machine)) return;
-    raiseFencingToken(machine, clock.now());
+    if (revoked.length === 0 || !this.raiseToken(machine)) return;
     log.info(LogEvent.StartsRevoked, {
       machine: machine.name,
       tasks: revoked.slice(0, MAX_LOGGED_TASKS).map(({ name }) => name),
@@ -187,20 +178,20 @@
   private raiseTokenForHeartbeat(machine: Machine): boolean {
     const { clock, settings } = this.context;
     if (clock.now() - machine.fencing.tokenRaisedAt < settings.workers.lease / 2 + TOKEN_REPORT_MARGIN) return false;
-    if (!this.hasTokensLeft(machine)) return false;
-    raiseFencingToken(machine, clock.now());
-    return true;
+    return this.raiseToken(machine);
   }
 
-  /** Whether the machine's token may be raised; if not, the shard is reacquired under a new epoch. */
-  private hasTokensLeft(machine: Machine): boolean {
-    if (hasFencingSequencesLeft(machine)) return true;
-    this.context.log.info(LogEvent.FencingSequencesExhausted, {
-      machine: machine.name,
-      epoch: this.context.lease.epoch,
-    });
-    this.context.onInconsistent();
-    return false;
+  /** Raises the token of what is sent next. False: none is left, and the shard is reacquired under a new epoch. */
+  private raiseToken(machine: Machine): boolean {
+    const { clock, lease, log } = this.context;
+    if (!hasFencingSequencesLeft(machine)) {
+      log.info(LogEvent.FencingSequencesExhausted, { machine: machine.name, epoch: lease.epoch });
+      this.context.onInconsistent();
+      return false;
+    }
+    machine.fencing.sequence += 1;
+    machine.fencing.tokenRaisedAt = clock.now();
+    return true;
   }
 
   private maySend(machine: Machine, probe: boolean): boolean {
--- a/src/coordination/workers/start-commands.ts
+++ b/src/coordination/workers/start-commands.ts
@@ -11,8 +11,6 @@
 /** The parts of the shard context on which it depends whether a task may be started. */
 export type StartContext = Pick<ShardContext, "shard" | "lease" | "mayStartTasks">;
 
-const NO_TASKS: readonly Task[] = [];
-
 /**
  * Whether the worker has shown this leader's token. Inherited tasks are not started again before that: an attempt may
  * have ended without its end being on record yet.
@@ -41,17 +39,17 @@
 };
 
 /**
- * Whether a start command that was sent may still be executed and no response repeats it. What is repeated is listed in
- * the end; a revoked start is proved lost only by a heartbeat under a token above its own (`unfencedRevokedStarts`).
+ * The token of the task's start command if that may still be executed and no response repeats it; else null. What is
+ * repeated is listed in the end; a revoked start is proved lost only by a heartbeat under a token above its own.
  */
-const isRevoked = ({ startCommand, job, stopRequest, machine }: Task): boolean => {
-  if (startCommand.kind !== "uncertain" || machine === null) return false;
-  return job.cancelled || stopRequest !== null || isBeingEmptied(machine);
+const revokedStartToken = ({ startCommand, job, stopRequest }: Task, machine: Machine): number | null => {
+  if (startCommand.kind !== "uncertain") return null;
+  return job.cancelled || stopRequest !== null || isBeingEmptied(machine) ? startCommand.token : null;
 };
 
 /** Whether a task of the machine keeps its capacity only because its revoked start may still be executed. */
-export const hasRevokedStarts = ({ tasks }: Machine): boolean => {
-  for (const task of tasks) if (isRevoked(task)) return true;
+export const hasRevokedStarts = (machine: Machine): boolean => {
+  for (const task of machine.tasks) if (revokedStartToken(task, machine) !== null) return true;
   return false;
 };
 
@@ -60,12 +58,13 @@
  * higher token. The token is to be raised for them; once, as later responses carry the raised token too.
  */
 export const unfencedRevokedStarts = (lease: ShardLease, machine: Machine): readonly Task[] => {
-  // Called for each response; nothing is allocated for a machine without revoked starts.
-  if (!hasRevokedStarts(machine)) return NO_TASKS;
   const responseToken = responseTokenOf(lease, machine);
-  return [...machine.tasks].filter(
-    (task) => isRevoked(task) && task.startCommand.kind === "uncertain" && task.startCommand.token >= responseToken,
-  );
+  const unfenced: Task[] = [];
+  for (const task of machine.tasks) {
+    const token = revokedStartToken(task, machine);
+    if (token !== null && token >= responseToken) unfenced.push(task);
+  }
+  return unfenced;
 };
 
 /** Numbers of tasks that hold capacity while it is not known whether their worker has executed their start command. */
@@ -83,7 +82,7 @@
   for (const machine of machines) {
     for (const task of machine.tasks) {
       if (task.startCommand.kind === "uncertain") uncertain += 1;
-      if (isRevoked(task)) revoked += 1;
+      if (revokedStartToken(task, machine) !== null) revoked += 1;
     }
   }
   return { uncertain, revoked };
--- a/src/coordination/workers/task-list-reconciliation.ts
+++ b/src/coordination/workers/task-list-reconciliation.ts
@@ -6,15 +6,12 @@
 import type { Heartbeat, TaskStatus } from "../../protocol/worker.js";
 import type { ShardContext } from "../context.js";
 import { fencingTokenOf } from "../fencing-token.js";
-import { LogEvent } from "../log-events.js";
+import { LogEvent, MAX_LOGGED_TASKS } from "../log-events.js";
 import { placedTasksByZone, zoneAllowed } from "../scheduling/eligibility.js";
 import { markInheritedStartUnanswered } from "./inherited-starts.js";
 import { isReachable } from "./reachability.js";
 import type { TaskExitHandler } from "./task-exit-handler.js";
 
-/** Maximum number of unexpected tasks (listed by the worker but not placed there) named in a log line. */
-const MAX_LOGGED_TASKS = 5;
-
 /** The parts of the shard context that the reconciler uses. */
 export type ReconciliationContext = Pick<
   ShardContext,
--- a/src/coordination/workers/task-loss-handler.ts
+++ b/src/coordination/workers/task-loss-handler.ts
@@ -52,7 +52,7 @@
    */
   handleCounterReset(machine: Machine): void {
     this.markInheritedStartsUnanswered(machine);
-    const token: Uint64 = fencingTokenOf(this.context.lease, machine);
+    const token = fencingTokenOf(this.context.lease, machine);
     for (const task of machine.tasks) {
       if (task.startCommand.kind === "none") continue;
       task.startCommand = { kind: "uncertain", token };
--- a/src/coordination/workers/worker-lease-expiry.ts
+++ b/src/coordination/workers/worker-lease-expiry.ts
@@ -1,7 +1,7 @@
 /** Expires the leases of workers whose heartbeats got no response in time. */
 
 import type { Machine } from "../../cluster/machine.js";
-import { type Micros, seconds } from "../../transport/clock.js";
+import { seconds } from "../../transport/clock.js";
 import type { ShardContext } from "../context.js";
 import type { HeartbeatProcessor } from "./heartbeat-processor.js";
 import type { UnreachableZones } from "./unreachable-zones.js";
@@ -53,7 +53,7 @@
    * the previous leader.
    */
   private applyInheritedLeaseRenewal(machine: Machine): void {
-    const latestRenewalAt: Micros | null = this.dependencies.unreachableZones.unansweredSince(machine.zone);
+    const latestRenewalAt = this.dependencies.unreachableZones.unansweredSince(machine.zone);
     if (latestRenewalAt !== null && latestRenewalAt < machine.lease.renewedAt)
       machine.lease.renewedAt = latestRenewalAt;
   }
