--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -4,6 +4,7 @@
 import type { Cluster } from "./sim/cluster.js";
 import { CANCELLATION_BOUND, submitLongJobs } from "./sim/fault-combinations.js";
 import { assertRecovered, type Fault, playFaultyDay, runningMachineAddresses } from "./sim/faulty-day.js";
+import { type HeartbeatResponseBody, heartbeatResponseBody } from "./sim/heartbeat-responses.js";
 
 const REFUSAL_TIME = 14 * S;
 /** Longer than `cancel_s`. */
@@ -104,12 +105,11 @@
  * not 200, and returns null to leave a response unchanged.
  */
 const tampering =
-  (alter: (payload: { baton: number; orders: { verb: string }[] } | null, machine: string) => unknown): Fault =>
+  (alter: (payload: HeartbeatResponseBody | null, machine: string) => unknown): Fault =>
   (c) => {
     c.network.tamper = (from, _to, request, response) => {
       if (request.target !== "/hello") return response;
-      const payload = response.status === 200 ? JSON.parse(response.body) : null;
-      const altered = alter(payload, from);
+      const altered = alter(heartbeatResponseBody(request, response), from);
       return altered === null ? response : { ...response, status: 200, body: JSON.stringify(altered) };
     };
   };
--- a/test/job-dependencies.test.ts
+++ b/test/job-dependencies.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { DependencyGraph } from "../src/cluster/dependency-graph.js";
-import { FastSite, jobBehaviour, noopObserver, S, sampleSite } from "../src/model/index.js";
+import { FastSite, jobBehaviour, jobOf, noopObserver, S, sampleSite } from "../src/model/index.js";
 import { decodeSubmission } from "../src/protocol/job-messages.js";
 import { DEFAULT_OPTIONS } from "../src/settings/options.js";
 import { encodeJobRecord } from "../src/storage/job-records.js";
@@ -259,10 +259,10 @@
       witness: {
         ...noopObserver,
         taskOn: (task) => {
-          const id = task.slice(0, task.lastIndexOf("/"));
+          const id = jobOf(task);
           if (!began.has(id)) began.set(id, world.now);
         },
-        taskDone: (task) => ended.set(task.slice(0, task.lastIndexOf("/")), "done"),
+        taskDone: (task) => ended.set(jobOf(task), "done"),
       },
       hearing: {
         submitted: () => undefined,
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -7,6 +7,7 @@
   type Bounds,
   HostClock,
   jobBehaviour,
+  jobOf,
   type MachineObserver,
   MEASURED,
   noopObserver,
@@ -28,6 +29,7 @@
 import type { Micros } from "../../src/transport/clock.js";
 import { settingsText } from "../fixtures.js";
 import { Checker, RuleViolation, type TrueJob } from "./checker.js";
+import { heartbeatResponseBody, startsAmong } from "./heartbeat-responses.js";
 
 export type { Submission } from "../../src/model/index.js";
 
@@ -254,7 +256,7 @@
   }
 
   private maybeCancelOnCompletion(task: string): void {
-    const id = task.slice(0, task.lastIndexOf("/"));
+    const id = jobOf(task);
     const { share, until } = this.completionCancellation;
     if (this.world.now > until || this.checker.finished.get(id)?.size !== this.checker.jobs.get(id)?.tasks) return;
     if (!this.random.chance(share)) return;
@@ -311,13 +313,10 @@
   /** Copies chosen starts in heartbeat responses to every other machine. */
   duplicateStarts(choose: (task: string) => boolean): void {
     this.network.tamper = (from, to, request, response) => {
-      if (request.target !== "/hello" || response.status !== 200) return response;
-      const { baton, orders } = JSON.parse(response.body) as {
-        baton: number;
-        orders: { readonly verb: string; readonly shard: string }[];
-      };
-      const chosen = orders.filter(({ verb, shard }) => verb === "launch" && choose(shard));
-      if (chosen.length > 0) this.sendToOthers(to, from, JSON.stringify({ baton, tenure: 1, orders: chosen }));
+      const body = heartbeatResponseBody(request, response);
+      if (body === null) return response;
+      const orders = startsAmong(body.orders).filter(({ shard }) => choose(shard));
+      if (orders.length > 0) this.sendToOthers(to, from, JSON.stringify({ baton: body.baton, tenure: 1, orders }));
       return response;
     };
   }
