--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -47,7 +47,7 @@
     areas: ["kumamoto", "hakata", "kumamoto"],
     zones: ["kumamoto", "hakata"],
     clockErrorMs: 1000,
-    teams: [{ name: "unyou-han", cpus: 16, cpusMax: 48 }, { name: "unyou-han-2", cpus: 16, cpusMax: 48 }],
+    teams: Array.from({ length: 16 }, (_, i) => ({ name: `unyou-han-${i + 1}`, cpus: 16, cpusMax: 48 })),
     workers: { reportS: 3, leaseS: 22, cancelS: 52 },
     state: { rps: 150, writeRps: 60, valueKb: 8, txnOps: 12 },
     cloud: { rps: 10, listLagS: 4 },
@@ -56,7 +56,7 @@
       { sku: "kogata", cpus: 4, accelerators: 0, ramGb: 32, localGb: 40, pullGbPerS: 1, price: 0.17, spotPrice: 0.05, bootS: 35, areas: ["hakata"] },
       { sku: "chuugata", cpus: 16, accelerators: 0, ramGb: 32, localGb: 40, pullGbPerS: 0.4, price: 0.51, spotPrice: 0.14, bootS: 15, areas: ["kumamoto", "hakata"] },
     ],
-    capacity: [["kogata", "hakata", 10, 6], ["chuugata", "kumamoto", 4, 4], ["chuugata", "hakata", 4, 4]],
+    capacity: [["kogata", "hakata", 19, 9], ["chuugata", "kumamoto", 1, 1], ["chuugata", "hakata", 1, 1]],
   },
 };
 
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -194,10 +194,16 @@
       entry.phase = "running";
       this.event("on", entry);
       this.changed();
+      // A faulty machine fails every task that it starts; `failsAfterMs(index)` says when, null: it is not faulty.
+      if (this.failsAfterMs) {
+        entry.timer = setTimeout(() => this.exit(entry, "error"), this.failsAfterMs(index));
+        return undefined;
+      }
       // The result of a completed task is kept: started again, it exits with `done` as soon as it has its image.
       if (this.fleet.completed.has(task)) return this.exit(entry, "done");
       const runS = job.shape === "daemon" ? null : this.fleet.runS(job, index);
       if (runS !== null) entry.timer = setTimeout(() => this.complete(entry), runS * 1000);
+      return undefined;
     }, fetchMs);
   }
 
