Review case 4: a taken port is no end of a controller

Ports come from outside the range of outgoing connections, controllers that are not ready are 'could not run', and controllers end with the script.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -40,10 +40,13 @@
     await sleep(4_000);
     await site.poll(page.ref);
     for (let i = 0; i < arrays; i += 1) await site.poll(`wk-00001${i}`);
+    site.note("machines", site.machinesNow());
     site.note("resident MB", site.controllers.map((child) => (child ? residentMb(child) : null)));
     if (site.exits.filter(({ expected }) => !expected).length >= 6) break;
   }
+  // An end with an exit status is the script's fault (a port was taken): then the case could not run.
   const ends = site.exits.filter(({ expected }) => !expected);
+  if (ends.length > 0 && ends[0].signal === null) throw new Error(`controller ${ends[0].index} ended with status ${ends[0].code}`);
   for (let i = 0; i < 3; i += 1)
     if (site.logOf(i).includes("heap out of memory")) site.note("its log says: JavaScript heap out of memory", { index: i });
   return ends.map(({ at, index, signal }) => `controller ${index} ended by itself (${signal}) ${at.toFixed(1)} s after the start`);
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,5 +1,5 @@
 // Frame of a case: runs it once, ends what it started, and sets the exit status (0 held, 1 broken, 2 could not run).
-import { existsSync } from "node:fs";
+import { existsSync, rmSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { ROOT, Site } from "./site.mjs";
@@ -25,6 +25,7 @@
         child.kill("SIGKILL");
       } catch {}
     }
+    if (site.folder) rmSync(site.folder, { recursive: true, force: true });
   };
   process.on("exit", endAll);
   for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => process.exit(2));
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -13,15 +13,20 @@
 
 export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 
-const freePort = () =>
-  new Promise((done, fail) => {
-    const server = createServer();
-    server.on("error", fail);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address();
-      server.close(() => done(port));
+/** A free port below the usual range of outgoing connections, so that none of those takes it before its controller does. */
+const freePort = async (taken) => {
+  for (let attempt = 0; attempt < 200; attempt += 1) {
+    const port = 12_000 + Math.floor(Math.random() * 19_000);
+    if (taken.includes(port)) continue;
+    const free = await new Promise((done) => {
+      const server = createServer();
+      server.on("error", () => done(false));
+      server.listen(port, "127.0.0.1", () => server.close(() => done(true)));
     });
-  });
+    if (free) return port;
+  }
+  throw new Error("no free port");
+};
 
 /** The command of the deploy file, as a list of words. */
 const runCommand = () => {
@@ -93,7 +98,7 @@
     this.store = new Store(spec.state);
     await this.store.listen();
     const ports = [];
-    for (let i = 0; i < 6; i += 1) ports.push(await freePort());
+    for (let i = 0; i < 6; i += 1) ports.push(await freePort(ports));
     this.nodes = ports.slice(0, 3).map((port) => `127.0.0.1:${port}`);
     this.mesh = ports.slice(3).map((port) => `127.0.0.1:${port}`);
     this.labels = [0, 1, 2].map((i) => `ridgehost-${i}`);
@@ -134,10 +139,11 @@
       }
     for (let i = 0; i < 3; i += 1) this.writeSettings(i);
     for (let i = 0; i < 3; i += 1) this.startController(i);
-    await this.waitFor("all nodes ready", 25, async () => {
+    const ready = await this.waitFor("all nodes ready", 25, async () => {
       const ups = await Promise.all(this.nodes.map((node) => call(node, "GET", "/up", null, { timeoutMs: 1000 })));
       return ups.every(({ status }) => status === 200);
     });
+    if (!ready) throw new Error("the controllers did not become ready");
   }
 
   /** Puts proxies between one worker and the controllers, in both directions. */
@@ -218,10 +224,13 @@
     const log = openSync(join(this.folder, `log-${index}.txt`), "a");
     const child = spawn(program, [...args, join(this.folder, `settings-${index}.toml`)], {
       cwd: ROOT,
-      stdio: ["ignore", "ignore", log],
-      env: { ...process.env, LOG_LEVEL: this.options.logLevel ?? "info" },
+      // The program's own switch: it ends with its standard input, so also if this script is killed.
+      stdio: ["pipe", "ignore", log],
+      env: { ...process.env, LOG_LEVEL: this.options.logLevel ?? "info", RAINRIDGE_END_WITH_STDIN: "1" },
     });
     this.note("controller started", { index, pid: child.pid });
+    child.stdin.on("error", () => undefined);
+    child.on("error", (error) => this.note("controller could not be started", String(error)));
     child.on("exit", (code, signal) => {
       this.note("controller ended", { index, code, signal, expected: child.expected === true });
       this.exits.push({ at: this.now(), index, code, signal, expected: child.expected === true });
@@ -257,6 +266,15 @@
     return this.labels.indexOf(this.store.entries.get("c/block/0")?.value?.label);
   }
 
+  /** What the machines hold and how their reports were answered, for the record. */
+  machinesNow() {
+    const up = this.workers.filter((worker) => worker.up);
+    const answers = {};
+    for (const { stats } of up)
+      for (const [status, count] of Object.entries({ 200: stats.accepted, ...stats.refused })) answers[status] = (answers[status] ?? 0) + count;
+    return { machines: up.length, tasksListed: up.reduce((sum, { tasks }) => sum + tasks.size, 0), reportsAnswered: answers };
+  }
+
   logOf(index) {
     return readFileSync(join(this.folder, `log-${index}.txt`), "utf8");
   }
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -20,7 +20,7 @@
     this.agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     this.reporting = false;
     this.lastReportAt = -Infinity;
-    this.stats = { reports: 0, refused: {}, largest: 0, leaseEnds: 0 };
+    this.stats = { reports: 0, accepted: 0, refused: {}, largest: 0, leaseEnds: 0, leaseEndsBy413: 0 };
   }
 
   async listen() {
@@ -73,6 +73,8 @@
   checkLease() {
     if (!this.up || performance.now() - this.renewedAt <= this.fleet.leaseS * 1000) return;
     this.stats.leaseEnds += 1;
+    // Each report since the last accepted answer was over 64 KiB, reached a controller and was refused for its size.
+    if (this.sinceAccepted?.length >= 3 && this.sinceAccepted.every(({ status, error, bytes }) => bytes > 65_536 && (status === 413 || error === "ECONNRESET" || error === "EPIPE"))) this.stats.leaseEndsBy413 += 1;
     this.event("lease over", null, { tasks: this.tasks.size });
     for (const entry of this.tasks.values()) this.gone(entry, "lease over");
     this.tasks.clear();
@@ -139,9 +141,12 @@
           this.changedWhileReporting = true;
         }
         this.renewedAt = sentAt;
+        this.stats.accepted += 1;
+        this.sinceAccepted = [];
         this.execute(reply.body.orders ?? []);
       }
     } else {
+      (this.sinceAccepted ??= []).push({ status: reply.status, error: reply.error, bytes: Buffer.byteLength(text) });
       this.stats.refused[reply.status] = (this.stats.refused[reply.status] ?? 0) + 1;
       const steward = reply.status === 421 ? this.fleet.labels.indexOf(reply.body?.steward) : -1;
       this.agent.destroy();
