--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -14,7 +14,7 @@
 await runCase(import.meta.url, options, async (site, trouble) => {
   const team = site.spec.teams[0].name;
   const app = site.job("wk-000001", {
-    jobclass: "station-appu", owner: team, shape: "daemon", rank: "prod", shards: 2, cpus: 2, ramGb: 2.7, loaner: false, spread: true, sizeGb: 1.8, bundle: "img-a", guessS: 0,
+    jobclass: "station-appu", owner: team, shape: "daemon", rank: "prod", shards: 2, cpus: 2, ramGb: 2.7, loaner: false, spread: true, sizeGb: 0.9, bundle: "img-a", guessS: 0,
   });
   if ((await site.submit(app)).status !== 201) throw new Error("the app was not accepted");
   const appRuns = () => site.workers.flatMap((worker) => [...worker.tasks.values()]).filter(({ phase }) => phase === "running").length === 2;
@@ -37,6 +37,7 @@
   machine.failsAfterMs = null;
   const overAt = site.now();
   const startsBefore = starts;
+  const before = JSON.stringify([machine.stats.refused, machine.stats.leaseEnds]);
   site.note("no trouble from here on", { startsBefore });
   let phase = null;
   while (site.now() - overAt < MOST_WAIT_S + 1) {
@@ -52,6 +53,10 @@
     host: machine.info.host, up: machine.up, cpus: machine.info.type.cpus, used, teamUses: usedByTeam, reportsOtherThan200: machine.stats.refused, leasesOver: machine.stats.leaseEnds,
   });
   if (phase === "done" || starts > startsBefore) return [];
+  // Excuses: the machine was not there, or not answered, all the time; or it has no room; or the team is at its limit.
+  if (before !== JSON.stringify([machine.stats.refused, machine.stats.leaseEnds])) return [];
+  const usedGb = running.reduce((sum, entry) => sum + entry.job.ramGb, 0);
+  if (usedGb + plan.ramGb > machine.info.type.ramGb) return [];
   if (!machine.up || machine.ended || used + plan.cpus > machine.info.type.cpus || usedByTeam + plan.cpus > 48) return [];
   return [
     `${MOST_WAIT_S} s after the end of the trouble the plan is "${phase}" and no task of it was started, while ${machine.info.host}, which fits, uses ${used} of ${machine.info.type.cpus} CPUs and its team ${usedByTeam} of 48`,
