--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -28,14 +28,22 @@
   const overAt = site.now();
   const running = () => site.workers.flatMap((worker) => [...worker.tasks.values()].map((entry) => ({ ...entry, worker }))).filter(({ phase, job }) => phase === "running" && job === app);
   site.note("no trouble from here on", running().map(({ task, worker }) => [task, worker.info.host]));
+  const answersOf = ({ stats }) => JSON.stringify([stats.refused, stats.leaseEnds]);
+  const before = new Map(site.workers.filter(({ up }) => up).map((worker) => [worker, answersOf(worker)]));
   while (site.now() - overAt < MOST_WAIT_S + 1) {
     await site.poll(app.ref);
     if (running().length === 2) break;
     await sleep(3_000);
   }
+  // A machine fits if it was there and answered all the time, is no cheap one, has room, and its zone has no replica yet
+  // ("at most half of the tasks, rounded up, may be in one zone").
+  const taken = running().map(({ worker }) => worker.info.area);
   const fitting = site.workers.filter((worker) => {
-    const used = [...worker.tasks.values()].filter(({ phase }) => phase !== "exited").reduce((sum, { job }) => sum + job.cpus, 0);
-    return worker.up && !worker.info.loaner && worker.info.area === "kumamoto" && used + app.cpus <= worker.info.type.cpus;
+    const tasks = [...worker.tasks.values()].filter(({ phase }) => phase !== "exited");
+    const cpus = tasks.reduce((sum, { job }) => sum + job.cpus, app.cpus);
+    const ramGb = tasks.reduce((sum, { job }) => sum + job.ramGb, app.ramGb);
+    if (!worker.up || worker.info.loaner || taken.includes(worker.info.area) || before.get(worker) !== answersOf(worker)) return false;
+    return cpus <= worker.info.type.cpus && ramGb <= worker.info.type.ramGb;
   });
   site.note("at the end", { running: running().map(({ task, worker }) => [task, worker.info.host, worker.info.area]), fitting: fitting.map(({ info, stats }) => [info.host, stats.refused, stats.leaseEnds]) });
   if (running().length === 2 || fitting.length === 0) return [];
