Try faulty machines that keep tasks, one task at a time

What callers saw: a machine that had failed three tasks in 8 s and was sound again got no task any more while it kept a replica. A single broken job did the same to a sound machine, also after its cancellation.

Cause: "faulty" was a drain reason, a conclusion that nothing ended; replicas stay on such a machine, and only empty machines are returned.

Change: a fault is a state of its own. Empty ones are returned as before.

--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -9,8 +9,18 @@
 import type { Micros } from "../transport/clock.js";
 import type { Task } from "./task.js";
 
-/** Why no more tasks are placed on a machine. */
-export type DrainReason = "scale-in" | "reclaim-notice" | "faulty";
+/** Why all tasks are to leave a machine, which returns to the cloud. */
+export type DrainReason = "scale-in" | "reclaim-notice";
+
+/** The conclusion that a machine fails what is started on it. It ends once a trial task succeeds there. */
+export interface MachineFault {
+  /** Earliest time at which the next trial task is started. */
+  retryAt: Micros;
+  /** Consecutive trial tasks that failed. */
+  failedTrials: number;
+  /** The task last placed there as a trial; null: none was. */
+  trialTask: Task | null;
+}
 
 /** Static properties of a machine, from the cloud's machine list or its worker's heartbeats. */
 export interface MachineDescription {
@@ -127,6 +137,8 @@
   reclaimAt: Micros | null;
   /** Null: the machine accepts tasks. */
   drainReason: DrainReason | null;
+  /** Null: the machine is not known as faulty. */
+  fault: MachineFault | null;
   deleting: boolean;
   quarantinedUntil: Micros;
   /** Failures on this machine within the retention period, by job. */
@@ -217,6 +229,7 @@
     provisionedAt: now,
     reclaimAt: null,
     drainReason: null,
+    fault: null,
     deleting: false,
     quarantinedUntil: NEVER,
     recentFailures: new Map(),
--- a/src/coordination/autoscaling/ending-tasks.ts
+++ b/src/coordination/autoscaling/ending-tasks.ts
@@ -39,7 +39,7 @@
     const estimate = seconds(spec.estimatedRunS);
     for (const { runningSince, machine } of placedTasks) {
       if (runningSince === null || machine === null || machine.type === null) continue;
-      if (machine.lifecycle.drainReason !== null) continue;
+      if (machine.lifecycle.drainReason !== null || machine.lifecycle.fault !== null) continue;
       const remaining = Math.max(0, runningSince + estimate - snapshot.now);
       if (remaining > longest) continue;
       const { typeName, zone, spot } = machine;
--- a/src/coordination/autoscaling/scale-in.ts
+++ b/src/coordination/autoscaling/scale-in.ts
@@ -52,7 +52,7 @@
       return age > MIN_CHARGED_TIME ? "boot failed" : null;
     default: {
       if (type === null) return "unknown type";
-      if (lifecycle.drainReason !== null || machine.tasks.size > 0) return "drained";
+      if (lifecycle.drainReason !== null || lifecycle.fault !== null || machine.tasks.size > 0) return "drained";
       const isIdle = now - load.idleSince > seconds(options.idleReturnS) && age > MIN_CHARGED_TIME;
       return isIdle && lifecycle.reclaimAt === null ? "idle" : null;
     }
--- a/src/coordination/leadership/leader-checks.ts
+++ b/src/coordination/leadership/leader-checks.ts
@@ -10,6 +10,7 @@
 import type { CommandDispatcher } from "../workers/command-dispatcher.js";
 import type { FailureDetector } from "../workers/failure-detector.js";
 import type { HeartbeatProcessor } from "../workers/heartbeat-processor.js";
+import { endFaultByStableRun } from "../workers/machine-trials.js";
 import { countUncertainStarts } from "../workers/start-commands.js";
 import type { WorkerLeaseExpiry } from "../workers/worker-lease-expiry.js";
 import type { MachineTypeRefresher } from "./machine-type-refresher.js";
@@ -101,9 +102,15 @@
 
   private checkMachines(): void {
     const { context, failureDetector, workerLeaseExpiry, commands } = this.dependencies;
+    const { clock, log, shard } = context;
     workerLeaseExpiry.expireLeases();
     failureDetector.checkSilence();
-    for (const machine of context.shard.machines.values()) commands.applyEvictions(machine);
+    for (const machine of shard.machines.values()) {
+      commands.applyEvictions(machine);
+      if (!endFaultByStableRun(machine, clock.now())) continue;
+      log.info(LogEvent.MachineRecovered, { machine: machine.name });
+      context.scheduleRound();
+    }
   }
 
   private summarizeIfDue(): void {
--- a/src/coordination/log-events.ts
+++ b/src/coordination/log-events.ts
@@ -64,8 +64,10 @@
   TaskFailed: "task failed",
   /** The job fails on every machine: only one of its tasks at a time is started. */
   JobOnProbation: "job put on probation",
-  /** Jobs that succeed elsewhere fail on the machine: it is drained and returned to the cloud. */
+  /** Tasks fail on the machine: it gets one trial task at a time, and is returned to the cloud once it has no tasks. */
   MachineFaulty: "machine faulty",
+  /** A trial task has succeeded on a faulty machine, which gets tasks as before. */
+  MachineRecovered: "machine recovered",
   /** The load level of this process has changed, and with it the work that it sheds. */
   LoadLevelChanged: "load level changed",
   /** A recorded task range holds placements unknown to this leader: the shard is reacquired. */
--- a/src/coordination/scheduling/candidate-index.ts
+++ b/src/coordination/scheduling/candidate-index.ts
@@ -8,7 +8,14 @@
 import type { Resources } from "../../protocol/resources.js";
 import type { Micros } from "../../transport/clock.js";
 import { mayBackfill, type Reservation } from "./capacity-reservation.js";
-import { isReady, jobAllowsMachine, placedTasksByZone, readyMachines, zoneAllowed } from "./eligibility.js";
+import {
+  isReady,
+  isReadyForTrial,
+  jobAllowsMachine,
+  placedTasksByZone,
+  readyMachines,
+  zoneAllowed,
+} from "./eligibility.js";
 import type { GuaranteeUsage } from "./guarantee-usage.js";
 import { countThatFit, fits, type Images, subtractResources } from "./placement/bfgp.js";
 import type { RankedServer } from "./placement/ranking.js";
@@ -17,6 +24,8 @@
 /** A machine that can take tasks, with the capacity that it has left in this round. */
 export interface Candidate extends RankedServer {
   readonly machine: Machine;
+  /** The machine is faulty, and takes one task as a trial. */
+  readonly onTrial: boolean;
 }
 
 /** Images of a machine; as in the paper, an image that is being fetched counts as present. */
@@ -36,7 +45,7 @@
   }
 }
 
-const asCandidate = (machine: Machine, type: MachineType, order: number): Candidate => ({
+const asCandidate = (machine: Machine, type: MachineType, order: number, onTrial = false): Candidate => ({
   name: machine.name,
   order,
   capacity: type.capacity,
@@ -45,6 +54,7 @@
   images: new MachineImages(machine),
   fetchGbPerS: type.fetchGbPerS,
   machine,
+  onTrial,
 });
 
 /** A copy for trial placements, which do not affect the original. */
@@ -141,7 +151,8 @@
   const machines: Machine[] = [];
   // Hot loop over every machine in every round: it avoids a generator and a string key for each machine.
   for (const machine of snapshot.shard.machines.values()) {
-    if (!isReady(machine, snapshot)) continue;
+    const onTrial = isReadyForTrial(machine, snapshot);
+    if (!onTrial && !isReady(machine, snapshot)) continue;
     const { type } = machine;
     const pool = findOrAddPool(pools, machine);
     pool.machineCount += 1;
@@ -152,8 +163,8 @@
       smallest.cpu <= capacity.cpu - used.cpu &&
       smallest.gpu <= capacity.gpu - used.gpu &&
       smallest.ram <= capacity.ram - used.ram;
-    if (hasCapacity) pool.candidates.push(asCandidate(machine, type, machines.length));
-    machines.push(machine);
+    if (hasCapacity) pool.candidates.push(asCandidate(machine, type, machines.length, onTrial));
+    if (!onTrial) machines.push(machine);
   }
   snapshot.inspection.count += machines.length;
   return {
@@ -177,7 +188,8 @@
   for (const pool of candidateIndex.pools) {
     if (!jobAllowsMachine(spec, pool.typeName, pool.zone, pool.spot)) continue;
     for (const candidate of pool.candidates) {
-      const count = Math.min(spec.tasks, countThatFit(spec.demand, candidate.free));
+      const maxTasks = candidate.onTrial ? 1 : spec.tasks;
+      const count = Math.min(maxTasks, countThatFit(spec.demand, candidate.free));
       tasksByZone.set(pool.zone, (tasksByZone.get(pool.zone) ?? 0) + count);
     }
   }
@@ -192,7 +204,7 @@
   const zones = new Set<string>();
   for (const { typeName, zone, spot, candidates } of candidateIndex.pools) {
     if (zones.has(zone) || !jobAllowsMachine(spec, typeName, zone, spot) || !zoneAllowed(spec, counts, zone)) continue;
-    if (candidates.some(({ free }) => fits(spec.demand, free))) zones.add(zone);
+    if (candidates.some(({ free, onTrial }) => !onTrial && fits(spec.demand, free))) zones.add(zone);
   }
   return zones;
 };
--- a/src/coordination/scheduling/eligibility.ts
+++ b/src/coordination/scheduling/eligibility.ts
@@ -4,6 +4,7 @@
 import type { MachineType } from "../../protocol/cloud.js";
 import type { JobSpec } from "../../protocol/job-spec.js";
 import type { Settings } from "../../settings/settings.js";
+import { isTrialDue } from "../workers/machine-trials.js";
 import { isReachable } from "../workers/reachability.js";
 import { fits } from "./placement/bfgp.js";
 import type { SchedulerSnapshot } from "./scheduler-snapshot.js";
@@ -45,11 +46,14 @@
   | "quarantined"
   | "heartbeat overdue"
   | "unreachable"
-  | "fencing token unverified";
+  | "fencing token unverified"
+  | "faulty";
 
 /** Why the machine is given no new tasks now; null if it is ready. */
 export const unreadyReason = (machine: Machine, snapshot: SchedulerSnapshot): UnreadyReason | null =>
-  unreadyByLifecycle(machine, snapshot) ?? unreadyByContact(machine, snapshot);
+  unreadyByLifecycle(machine, snapshot) ??
+  unreadyByContact(machine, snapshot) ??
+  (machine.lifecycle.fault === null ? null : "faulty");
 
 const unreadyByLifecycle = (machine: Machine, { now }: SchedulerSnapshot): UnreadyReason | null => {
   if (machine.type === null) return "type unknown";
@@ -77,6 +81,10 @@
 export const isReady = (machine: Machine, snapshot: SchedulerSnapshot): machine is TypedMachine =>
   unreadyReason(machine, snapshot) === null;
 
+/** Whether the machine, which is faulty but has no other reason to be unready, can take one task now as a trial. */
+export const isReadyForTrial = (machine: Machine, snapshot: SchedulerSnapshot): machine is TypedMachine =>
+  isTrialDue(machine, snapshot.now) && unreadyReason(machine, snapshot) === "faulty";
+
 /** All machines that can take tasks now. An array rather than a generator, for speed: callers walk the whole fleet. */
 export const readyMachines = (snapshot: SchedulerSnapshot): readonly TypedMachine[] => {
   const ready: TypedMachine[] = [];
--- a/src/coordination/scheduling/round-action.ts
+++ b/src/coordination/scheduling/round-action.ts
@@ -3,6 +3,7 @@
 import type { Machine } from "../../cluster/machine.js";
 import type { ShardState } from "../../cluster/shard-state.js";
 import { attemptOf, type Task } from "../../cluster/task.js";
+import { beginTrial } from "../workers/machine-trials.js";
 import type { ReservationAction } from "./capacity-reservation.js";
 import type { PreemptAction } from "./preemption.js";
 import { checkpointGraceS } from "./preemption-cost.js";
@@ -71,5 +72,6 @@
 
 const applyPlacement = (shard: ShardState, task: Task, machine: Machine): void => {
   shard.assignTask(task, machine);
+  beginTrial(machine, task);
   task.desired = { kind: "placed", attempt: attemptOf(task.desired) + 1, machine: machine.name };
 };
--- a/src/coordination/scheduling/task-placer.ts
+++ b/src/coordination/scheduling/task-placer.ts
@@ -3,6 +3,7 @@
  * S_i), tried in order of preference, the last being all machines that the job may use.
  */
 import type { Job } from "../../cluster/job.js";
+import type { Resources } from "../../protocol/resources.js";
 import type { Candidate, CandidateIndex, MachinePool } from "./candidate-index.js";
 import { mayBackfill } from "./capacity-reservation.js";
 import { jobAllowsMachine, zoneAllowed } from "./eligibility.js";
@@ -30,6 +31,9 @@
   { spotOnly: false, zonesWithMostTypesOnly: false, withReplicasOnly: false },
 ];
 
+/** A faulty machine has no capacity left after its trial task. */
+const NO_CAPACITY: Resources = { cpu: -1, gpu: -1, ram: -1 };
+
 /** Index of the first filter of jobs that may not use spot machines. */
 const FIRST_ON_DEMAND_FILTER = 2;
 
@@ -41,6 +45,10 @@
   /** Whether machines on which the job failed recently are left out, as another machine has capacity. */
   private readonly skipsFailed: boolean;
   private openZones = "";
+  /** Whether faulty machines are used as well, each for one task as a trial: once no other machine has capacity. */
+  private usesTrials = false;
+  /** Whether faulty machines have been left out since the first filter. */
+  private hasSkipped = false;
   private filterIndex: number;
   private ranking: Ranking<Candidate> | null = null;
 
@@ -56,7 +64,9 @@
     this.pools = candidateIndex.pools.filter((pool) => jobAllowsMachine(spec, pool.typeName, pool.zone, pool.spot));
     // Machines on which the job failed are avoided if possible: best fit prefers full machines, often the faulty one.
     this.skipsFailed = this.pools.some(({ candidates }) =>
-      candidates.some((candidate) => !this.hasFailedOn(candidate) && fits(spec.demand, candidate.free)),
+      candidates.some(
+        (candidate) => !candidate.onTrial && !this.hasFailedOn(candidate) && fits(spec.demand, candidate.free),
+      ),
     );
     this.filterIndex = this.firstFilterIndex();
   }
@@ -64,6 +74,14 @@
   /** The machine for the job's next task; null where none has capacity. */
   nextCandidate(): Candidate | null {
     if (this.isZoneBound) this.updateOpenZones();
+    const candidate = this.nextByFilter();
+    if (candidate !== null || this.usesTrials || !this.hasSkipped) return candidate;
+    this.restart();
+    this.usesTrials = true;
+    return this.nextByFilter();
+  }
+
+  private nextByFilter(): Candidate | null {
     for (let filter = FILTERS[this.filterIndex]; filter !== undefined; filter = FILTERS[this.filterIndex]) {
       this.ranking ??= this.rank(filter);
       const candidate = this.ranking.choose();
@@ -75,7 +93,9 @@
   }
 
   /** Records that the task was placed on the machine that `nextCandidate` returned. */
-  confirm({ machine }: Candidate): void {
+  confirm(candidate: Candidate): void {
+    const { machine } = candidate;
+    if (candidate.onTrial) candidate.free = NO_CAPACITY;
     this.ranking?.confirmChoice();
     this.zoneTaskCounts.set(machine.zone, Math.floor(this.zoneTaskCounts.get(machine.zone) ?? 0) + 1);
     if (this.job.spec.shape !== "service" || machine.load.replicas !== 1) return;
@@ -94,6 +114,8 @@
   private restart(): void {
     this.filterIndex = this.firstFilterIndex();
     this.ranking = null;
+    this.usesTrials = false;
+    this.hasSkipped = false;
   }
 
   private hasFailedOn({ machine }: Candidate): boolean {
@@ -128,7 +150,9 @@
       for (const candidate of pool.candidates) {
         if (filter.withReplicasOnly && candidate.machine.load.replicas === 0) continue;
         if (!mayBackfill(candidateIndex.reservation, job, candidate.machine, snapshot.now)) continue;
-        if (this.skipsFailed && this.hasFailedOn(candidate)) total -= 1;
+        const skipped = candidate.onTrial ? !this.usesTrials : this.skipsFailed && this.hasFailedOn(candidate);
+        this.hasSkipped ||= candidate.onTrial && skipped && job.spec.shape !== "gang";
+        if (skipped) total -= 1;
         else candidates.push(candidate);
       }
     }
--- a/src/coordination/workers/graceful-eviction.ts
+++ b/src/coordination/workers/graceful-eviction.ts
@@ -37,7 +37,6 @@
  */
 export const decideEvictions = (machine: Machine, now: Micros): readonly EvictionAction[] => {
   const { reclaimAt } = machine.lifecycle;
-  // A faulty machine fails newly started tasks only; tasks that already run there are left running.
   const evicting = isBeingEmptied(machine);
   let actions: EvictionAction[] | null = null;
   for (const task of machine.tasks) {
--- a/src/coordination/workers/long-polls.ts
+++ b/src/coordination/workers/long-polls.ts
@@ -25,8 +25,9 @@
  */
 export const longPollTime = (machine: Machine, now: Micros, backlog: boolean): Micros => {
   const { state, lifecycle, reachability, tasks } = machine;
+  const { drainReason, fault, quarantinedUntil } = lifecycle;
   const acceptsTasks =
-    state === "up" && !isBeingEmptied(machine) && lifecycle.drainReason === null && lifecycle.quarantinedUntil <= now;
+    state === "up" && !isBeingEmptied(machine) && drainReason === null && fault === null && quarantinedUntil <= now;
   if (!acceptsTasks || !isReachable(reachability) || reachability.probeToken !== null) return NO_WAIT;
   if (tasks.size === 0 || hasUnstartedTask(machine)) return MAX_WAIT;
   if (!hasFreeCapacity(machine)) return NO_WAIT;
--- a/src/coordination/workers/task-exit-handler.ts
+++ b/src/coordination/workers/task-exit-handler.ts
@@ -9,6 +9,7 @@
 import type { TaskStateWriter } from "../jobs/task-state-writer.js";
 import { LogEvent } from "../log-events.js";
 import { attributeFailure, clearFailureHistory, STABLE_RUN_TIME } from "./failure-attribution.js";
+import { declareFaulty, endFaultByCompletion, recordFailedTrial } from "./machine-trials.js";
 
 const MIN_RETRY_DELAY = seconds(0.5);
 const MAX_RETRY_DELAY = seconds(30);
@@ -61,9 +62,10 @@
   }
 
   private completeTask(machine: Machine, task: Task): void {
-    const { shard, clock, eventListener } = this.context;
+    const { shard, clock, log, eventListener } = this.context;
     const { job } = task;
     const now = clock.now();
+    if (endFaultByCompletion(machine, task, now)) log.info(LogEvent.MachineRecovered, { machine: machine.name });
     shard.recordImageUseBy(machine, task);
     const ran = (task.runningSince === null ? 0 : now - task.runningSince) as Micros;
     eventListener?.({ kind: "task done", job: job.spec.id, index: task.index, ran });
@@ -94,8 +96,8 @@
   }
 
   /**
-   * Failing machines and failing jobs are backed off independently: a faulty machine is drained, a job put on
-   * probation.
+   * Failing machines and failing jobs are backed off independently: a faulty machine is given trial tasks only, or
+   * returned if it is empty, and a job is put on probation.
    */
   private attributeFailure(machine: Machine, task: Task, now: Micros): void {
     const { shard, log, eventListener } = this.context;
@@ -105,8 +107,14 @@
     const cause = attributeFailure(task, machine, shard.jobs, shard.machines, now);
     if (cause === "job" && !wasOnProbation)
       log.info(LogEvent.JobOnProbation, { job: job.spec.id, machines: [...job.failedMachines] });
+    if (cause === "job") return;
+    const { fault } = machine.lifecycle;
+    if (fault !== null) {
+      recordFailedTrial(fault, task, now);
+      return;
+    }
     if (cause !== "machine" || machine.lifecycle.drainReason !== null) return;
-    machine.lifecycle.drainReason = "faulty";
+    declareFaulty(machine, now);
     log.info(LogEvent.MachineFaulty, { machine: machine.name, jobs: [...machine.lifecycle.recentFailures.keys()] });
     eventListener?.({ kind: "machine faulty", ...eventFieldsOf(machine) });
   }
--- a/src/model/cloud-service.ts
+++ b/src/model/cloud-service.ts
@@ -12,8 +12,8 @@
   notice(inUs: number): void;
   /** Suspends the machine for `forUs` microseconds. */
   hang(forUs: number): void;
-  /** Makes the machine faulty: every task that it starts from now on fails. */
-  makeFaulty(): void;
+  /** Makes the machine faulty for `forUs` microseconds, forever by default: every task started in that time fails. */
+  makeFaulty(forUs?: number): void;
   /** Restarts the worker process within a fraction of a second, without its tasks; `keepCounters` as in `Worker`. */
   restart(keepCounters: boolean): void;
   /** Ends the machine with all its tasks. */
--- a/src/model/executor.ts
+++ b/src/model/executor.ts
@@ -56,8 +56,7 @@
   private readonly fetches = new Map<string, ImageFetch>();
   private readonly speed: number;
   private ended = false;
-  /** Whether the machine is faulty, so that every task started on it fails. */
-  faulty = false;
+  private faultyUntil = 0;
 
   /** `onChange` is called when the state to be reported in the next heartbeat has changed. */
   constructor(
@@ -74,6 +73,11 @@
     this.hungUntil = Math.max(this.hungUntil, this.environment.timeline.now + forUs);
   }
 
+  /** Makes the machine faulty: every task that it starts in the next `forUs` microseconds fails. */
+  makeFaulty(forUs: number): void {
+    this.faultyUntil = Math.max(this.faultyUntil, this.environment.timeline.now + forUs);
+  }
+
   /** Runs the callback now, or when a hanging machine resumes; never once the machine is gone. */
   whenRunning(run: () => void): void {
     if (this.ended) return;
@@ -309,7 +313,7 @@
     const { truth, timeline, witness } = this.environment;
     const { generation } = task;
     task.runStartedAt = timeline.now;
-    const fails = this.faulty || behaviour.failsAlways;
+    const fails = timeline.now < this.faultyUntil || behaviour.failsAlways;
     if (behaviour.runUs === null && !fails) return;
     const index = Number(task.shard.slice(task.shard.lastIndexOf("/") + 1));
     const fullRunUs = behaviour.runsUs?.get(index) ?? behaviour.runUs ?? 0;
--- a/src/model/fast-machine.ts
+++ b/src/model/fast-machine.ts
@@ -85,8 +85,8 @@
     this.executor.hang(forUs);
   }
 
-  makeFaulty(): void {
-    this.executor.faulty = true;
+  makeFaulty(forUs = Number.POSITIVE_INFINITY): void {
+    this.executor.makeFaulty(forUs);
   }
 
   /** Restarts the worker; its counters are not modelled. */
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -75,9 +75,9 @@
     this.executor.hang(forUs);
   }
 
-  /** Makes the machine faulty: every task that it starts from now on fails. */
-  makeFaulty(): void {
-    this.executor.faulty = true;
+  /** Makes the machine faulty for `forUs` microseconds: every task that it starts in that time fails. */
+  makeFaulty(forUs = Number.POSITIVE_INFINITY): void {
+    this.executor.makeFaulty(forUs);
   }
 
   /** Announces that the machine will be reclaimed in `inUs` microseconds. */
--- a/test/eligibility.test.ts
+++ b/test/eligibility.test.ts
@@ -13,7 +13,12 @@
     [() => undefined, null],
     [(machine) => Object.assign(machine, { type: null }), "type unknown"],
     [(machine) => Object.assign(machine, { state: "booting" }), "booting"],
-    [({ lifecycle }) => Object.assign(lifecycle, { drainReason: "faulty" }), "draining"],
+    [({ lifecycle }) => Object.assign(lifecycle, { drainReason: "scale-in" }), "draining"],
+    [
+      ({ lifecycle }) =>
+        Object.assign(lifecycle, { fault: { retryAt: 2e9 as Micros, failedTrials: 0, trialTask: null } }),
+      "faulty",
+    ],
     [({ lifecycle }) => Object.assign(lifecycle, { deleting: true }), "draining"],
     [({ lifecycle }) => Object.assign(lifecycle, { reclaimAt: 1 as Micros }), "reclaim notice"],
     [({ lease }) => Object.assign(lease, { expired: true }), "lease expired"],
--- a/test/long-polls.test.ts
+++ b/test/long-polls.test.ts
@@ -50,7 +50,8 @@
 test("no response waits for a machine that takes no tasks or may be unreachable", () => {
   const changes: readonly ((machine: Machine) => void)[] = [
     (machine) => Object.assign(machine, { state: "unconfirmed" }),
-    ({ lifecycle }) => Object.assign(lifecycle, { drainReason: "faulty" }),
+    ({ lifecycle }) => Object.assign(lifecycle, { fault: { retryAt: 0, failedTrials: 0, trialTask: null } }),
+    ({ lifecycle }) => Object.assign(lifecycle, { drainReason: "scale-in" }),
     ({ lifecycle }) => Object.assign(lifecycle, { reclaimAt: 1 }),
     ({ lifecycle }) => Object.assign(lifecycle, { quarantinedUntil: 1e15 }),
     ({ reachability }) => Object.assign(reachability, { consecutiveTimeouts: 2 }),
