--- a/src/coordination/scheduling/task-placer.ts
+++ b/src/coordination/scheduling/task-placer.ts
@@ -7,7 +7,6 @@
 import type { Candidate, CandidateIndex, MachinePool } from "./candidate-index.js";
 import { mayBackfill } from "./capacity-reservation.js";
 import { jobAllowsMachine, zoneAllowed } from "./eligibility.js";
-import { fits } from "./placement/bfgp.js";
 import { Ranking } from "./placement/ranking.js";
 import type { SchedulerSnapshot } from "./scheduler-snapshot.js";
 
@@ -42,12 +41,13 @@
   private readonly pools: readonly MachinePool[];
   /** Whether the zones that the job may use depend on where its tasks are. */
   private readonly isZoneBound: boolean;
-  /** Whether machines on which the job failed recently are left out, as another machine has capacity. */
-  private readonly skipsFailed: boolean;
   private openZones = "";
-  /** Whether faulty machines are used as well, each for one task as a trial: once no other machine has capacity. */
-  private usesTrials = false;
-  /** Whether faulty machines have been left out since the first filter. */
+  /**
+   * Whether doubtful machines are used as well: those on which the job failed, and faulty ones for a trial. Only where
+   * no other machine that the rules allow has capacity: best fit prefers full machines, often the faulty one.
+   */
+  private usesDoubtful = false;
+  /** Whether doubtful machines have been left out since the first filter. */
   private hasSkipped = false;
   private filterIndex: number;
   private ranking: Ranking<Candidate> | null = null;
@@ -62,12 +62,6 @@
     const { spec } = job;
     this.isZoneBound = spec.spread || spec.singleZone;
     this.pools = candidateIndex.pools.filter((pool) => jobAllowsMachine(spec, pool.typeName, pool.zone, pool.spot));
-    // Machines on which the job failed are avoided if possible: best fit prefers full machines, often the faulty one.
-    this.skipsFailed = this.pools.some(({ candidates }) =>
-      candidates.some(
-        (candidate) => !candidate.onTrial && !this.hasFailedOn(candidate) && fits(spec.demand, candidate.free),
-      ),
-    );
     this.filterIndex = this.firstFilterIndex();
   }
 
@@ -75,9 +69,9 @@
   nextCandidate(): Candidate | null {
     if (this.isZoneBound) this.updateOpenZones();
     const candidate = this.nextByFilter();
-    if (candidate !== null || this.usesTrials || !this.hasSkipped) return candidate;
+    if (candidate !== null || this.usesDoubtful || !this.hasSkipped) return candidate;
     this.restart();
-    this.usesTrials = true;
+    this.usesDoubtful = true;
     return this.nextByFilter();
   }
 
@@ -114,10 +108,16 @@
   private restart(): void {
     this.filterIndex = this.firstFilterIndex();
     this.ranking = null;
-    this.usesTrials = false;
+    this.usesDoubtful = false;
     this.hasSkipped = false;
   }
 
+  /** Whether the candidate is left out now. A gang is no trial: all of it would fail with one task. */
+  private isSkipped(candidate: Candidate): boolean {
+    if (candidate.onTrial && this.job.spec.shape === "gang") return true;
+    return !this.usesDoubtful && (candidate.onTrial || this.hasFailedOn(candidate));
+  }
+
   private hasFailedOn({ machine }: Candidate): boolean {
     return machine.lifecycle.recentFailures.has(this.job.spec.id) || this.job.failedMachines.has(machine.name);
   }
@@ -150,10 +150,12 @@
       for (const candidate of pool.candidates) {
         if (filter.withReplicasOnly && candidate.machine.load.replicas === 0) continue;
         if (!mayBackfill(candidateIndex.reservation, job, candidate.machine, snapshot.now)) continue;
-        const skipped = candidate.onTrial ? !this.usesTrials : this.skipsFailed && this.hasFailedOn(candidate);
-        this.hasSkipped ||= candidate.onTrial && skipped && job.spec.shape !== "gang";
-        if (skipped) total -= 1;
-        else candidates.push(candidate);
+        if (!this.isSkipped(candidate)) {
+          candidates.push(candidate);
+          continue;
+        }
+        total -= 1;
+        this.hasSkipped = true;
       }
     }
     return new Ranking(job.spec, candidates, total, snapshot.options.kappa, snapshot.inspection);
