Answer relayed requests on the connection that they came on

What callers would see: a worker carries out the start of another worker's task, so that the task runs on two machines.

Cause: the response to a relayed request, a worker's heartbeat among them, was sent to whatever connection the peer's label had by then, and request ids begin at 1 in every process. A peer that is back within a second takes the response to its predecessor's request for the one to its own.

Change: a frame comes with a function that replies on its own connection, and does nothing once that has ended. Frames are unchanged; the caller's request ends as lost, as it does when its connection closes.

Why it works: a connection belongs to one process, so that no other process gets the response.

--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -50,9 +50,9 @@
     const relayClient = new RelayClient(clock);
     const relayServer = new RelayServer({ log, http, links, statistics, loadLevel, handleHeartbeat });
     const peers = new PeerRegistry(options, {
-      onFrame: (peer, frame) => {
+      onFrame: (peer, frame, reply) => {
         if (frame.type === "relay-response") relayClient.receive(peer, frame);
-        else relayServer.handle(peer, frame, (response) => peers.get(peer)?.send(response));
+        else relayServer.handle(peer, frame, reply);
       },
       onClosed: (peer) => relayClient.failAll(peer),
     });
--- a/src/mesh/peer-connection.ts
+++ b/src/mesh/peer-connection.ts
@@ -13,9 +13,15 @@
 /** A new connection without a heartbeat is closed after this time. */
 const FIRST_HEARTBEAT_TIMEOUT = seconds(4);
 
+/**
+ * Sends a frame over the connection on which a frame was received. False: that connection has ended, or the frame was
+ * not sent. Another process of the peer may have opened the present one, with request ids of its own.
+ */
+export type ReplySender = (frame: MeshFrame) => boolean;
+
 /** Receives the frames of a peer and the end of its connection. */
 export interface PeerConnectionListener {
-  onFrame(frame: RelayFrame): void;
+  onFrame(frame: RelayFrame, reply: ReplySender): void;
   /** The connection has ended; requests sent over it may have been executed. */
   onClosed(): void;
 }
@@ -148,7 +154,8 @@
       if (this.liveness.heartbeat === null) log.info(LogEvent.PeerConnected, { peer: label });
       this.liveness.record(frame.heartbeat, clock.now());
     } else {
-      listener.onFrame(frame);
+      const { connection } = this;
+      listener.onFrame(frame, (response) => this.connection === connection && this.send(response));
     }
   }
 
--- a/src/mesh/peer-registry.ts
+++ b/src/mesh/peer-registry.ts
@@ -5,7 +5,7 @@
 import type { HelloFrame, PeerHeartbeat, RelayFrame } from "./frames.js";
 import { awaitHello } from "./incoming-handshake.js";
 import { PeerStatus } from "./link-status.js";
-import { PeerConnection } from "./peer-connection.js";
+import { PeerConnection, type ReplySender } from "./peer-connection.js";
 import type { PeerSnapshot } from "./relay-route.js";
 
 /** A controller of the deployment, as configured. */
@@ -30,7 +30,7 @@
 
 /** Receives the frames of all peers and the end of their connections. */
 export interface PeerListener {
-  onFrame(peer: string, frame: RelayFrame): void;
+  onFrame(peer: string, frame: RelayFrame, reply: ReplySender): void;
   /** The connection to the peer has ended. */
   onClosed(peer: string): void;
 }
@@ -106,7 +106,7 @@
       initiates: ownLabel < label,
       hello,
       listener: {
-        onFrame: (frame) => listener.onFrame(label, frame),
+        onFrame: (frame, reply) => listener.onFrame(label, frame, reply),
         onClosed: () => listener.onClosed(label),
       },
     });
--- a/test/mesh.test.ts
+++ b/test/mesh.test.ts
@@ -22,7 +22,7 @@
 import { HostClock, Simulation } from "../src/model/index.js";
 import type { Micros } from "../src/transport/clock.js";
 import { RainridgeError } from "../src/transport/errors.js";
-import type { HttpOutcome } from "../src/transport/http.js";
+import type { HttpOutcome, HttpResponse } from "../src/transport/http.js";
 import { forSeeds, Random } from "./random.js";
 
 const HEARTBEAT: MeshFrame = {
@@ -209,7 +209,10 @@
 });
 
 /** A mesh with one peer, simulated by the test. `peerResponds`: the peer sends a hello and periodic heartbeats. */
-const meshWithOnePeer = (peerResponds: boolean) => {
+const meshWithOnePeer = (
+  peerResponds: boolean,
+  handleHeartbeat: () => Promise<HttpResponse> = async () => ({ status: 503, body: "" }),
+) => {
   const world = new Simulation();
   const clock = new HostClock(world, 1, 0);
   const connections: { at: number; connection: FrameConnection; closed: () => boolean; sent: MeshFrame[] }[] = [];
@@ -256,7 +259,7 @@
       cloudAddress: "cloud:1",
       workers: { heartbeatInterval: 3_000_000 as Micros },
     },
-  })({ loadLevel: () => 0, leadership: () => null, handleHeartbeat: async () => ({ status: 503, body: "" }) });
+  })({ loadLevel: () => 0, leadership: () => null, handleHeartbeat });
   mesh.start();
   const receive = (frame: MeshFrame): void => connections.at(-1)?.connection.onData(encodeFrame(frame));
   let sequence = 0;
@@ -340,6 +343,30 @@
   assert.deepEqual(await pending, { kind: "lost" });
 });
 
+// Guards against a start for one worker that reaches another one, whose heartbeat the peer relays after its restart
+// under the same request id.
+test("the response to a relayed heartbeat is dropped once the connection that it came on has ended", async () => {
+  const responses: ((response: HttpResponse) => void)[] = [];
+  const { connections, receive, advance } = meshWithOnePeer(true, () => new Promise((done) => responses.push(done)));
+  await advance(1);
+  const request = { method: "POST", target: "/hello", body: "{}" };
+  const relayHeartbeat = (): void => receive({ type: "relay-request", id: 1, address: "", timeoutMs: 2_500, request });
+  const relayResponses = (): MeshFrame[] =>
+    connections.flatMap(({ sent }) => sent.filter(({ type }) => type === "relay-response"));
+  relayHeartbeat();
+  connections.at(-1)?.connection.onClosed();
+  await advance(10);
+  assert.ok(connections.length >= 2, "the connection is opened again");
+  receive({ type: "hello", label: "b", incarnation: "k" });
+  relayHeartbeat();
+  responses[0]?.({ status: 200, body: '{"baton":65536,"orders":[{"verb":"launch","shard":"wk-1/0","try":1}]}' });
+  await advance(0.1);
+  assert.deepEqual(relayResponses(), [], "the start of the earlier process's worker");
+  responses[1]?.({ status: 200, body: '{"baton":65537,"orders":[]}' });
+  await advance(0.1);
+  assert.equal(relayResponses().length, 1, "the response to the heartbeat of this connection");
+});
+
 test("a connection is closed and reopened after a hello from another controller or invalid bytes", async () => {
   const otherHello = encodeFrame({ type: "hello", label: "c", incarnation: "k" });
   for (const bytes of [otherHello, Buffer.from("GET / HTTP/1.1\r\n\r\n")]) {
