--- a/src/cluster/machine.ts
+++ b/src/cluster/machine.ts
@@ -135,7 +135,7 @@
   provisionedAt: Micros;
   /** When the cloud reclaims the spot instance, according to its notice; null: no notice is in effect. */
   reclaimAt: Micros | null;
-  /** Null: the machine accepts tasks. */
+  /** Null: its tasks may stay. */
   drainReason: DrainReason | null;
   /** Null: the machine is not known as faulty. */
   fault: MachineFault | null;
--- a/test/avoided-machines.test.ts
+++ b/test/avoided-machines.test.ts
@@ -4,7 +4,7 @@
 import { createMachine, type Machine } from "../src/cluster/machine.js";
 import { S } from "../src/model/index.js";
 import { makeSchedulingFixture, TYPE } from "./scheduling-fixtures.js";
-import { Cluster, plainJob } from "./sim/cluster.js";
+import { clusterWithOneMachineAZone, plainJob } from "./sim/cluster.js";
 
 const makeFixture = () => {
   const fixture = makeSchedulingFixture(2);
@@ -55,10 +55,7 @@
 
 test("a failed replica of a spread service runs again once its zone's only machine no longer fails tasks", async () => {
   for (const seed of [1, 2, 3]) {
-    const cluster = new Cluster(seed);
-    cluster.machineCapacity.ordinary = 1;
-    cluster.machineCapacity.spot = 0;
-    cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+    const cluster = clusterWithOneMachineAZone(seed);
     // One machine in each zone, kept by a service of its own.
     cluster.submit(plainJob("wk-000001", { shape: "daemon", rank: "prod", shards: 2, cpus: 1, spread: true }));
     cluster.world.at(60 * S, () => {
--- a/test/machine-trials.test.ts
+++ b/test/machine-trials.test.ts
@@ -13,7 +13,7 @@
 } from "../src/coordination/workers/machine-trials.js";
 import { S } from "../src/model/index.js";
 import { makeSchedulingFixture } from "./scheduling-fixtures.js";
-import { Cluster, plainJob } from "./sim/cluster.js";
+import { clusterWithOneMachineAZone, plainJob } from "./sim/cluster.js";
 
 const makeFixture = (machines: number) => {
   const fixture = makeSchedulingFixture(machines);
@@ -111,10 +111,7 @@
 // Guards against a job that waits for ever beside a sound machine, which failed some tasks and keeps a replica (review/6).
 test("a job that fits on one machine only runs there once that machine no longer fails its tasks", async () => {
   for (const seed of [1, 2, 3]) {
-    const cluster = new Cluster(seed);
-    cluster.machineCapacity.ordinary = 1;
-    cluster.machineCapacity.spot = 0;
-    cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+    const cluster = clusterWithOneMachineAZone(seed);
     cluster.submit(
       plainJob("wk-000001", { shape: "daemon", rank: "prod", shards: 2, cpus: 1, spread: true, flavors: ["big"] }),
     );
@@ -134,10 +131,7 @@
 
 // Guards against a sound machine that a single broken job has put out of use for all others, also after its end.
 test("a machine that failed a broken job only is used again after the job is cancelled", async () => {
-  const cluster = new Cluster(4);
-  cluster.machineCapacity.ordinary = 1;
-  cluster.machineCapacity.spot = 0;
-  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+  const cluster = clusterWithOneMachineAZone(4);
   cluster.submit(
     plainJob("wk-000001", { shape: "daemon", rank: "prod", shards: 2, cpus: 1, spread: true, flavors: ["big"] }),
   );
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -349,6 +349,15 @@
     });
   }
 }
+/** A cluster with capacity for one on-demand machine in each zone, all of which boot. */
+export const clusterWithOneMachineAZone = (seed: number): Cluster => {
+  const cluster = new Cluster(seed);
+  cluster.machineCapacity.ordinary = 1;
+  cluster.machineCapacity.spot = 0;
+  cluster.cloud.boots = { ...cluster.cloud.boots, never: 0 };
+  return cluster;
+};
+
 /** A job with random fields in realistic ranges. */
 export const randomJob = (random: Random, number: number): Submission => {
   const service = random.chance(0.3);
